Forward requests by the routes of the users' platform

Cause: the product had no path for transparent requests: no routes by host and prefix, no keys of workspaces, no client that knows whether a byte was sent, no platform adapter. Change: packages route, feed, assign, relay, uplink, edge and carry, the schema of their values and settings, the adapter in platform/ and the command 'chicoryhoist forward'. net/http's transport was ruled out for the way to backend servers because it repeats requests by itself and hides whether a byte has left. The test of the settings' defaults now covers both kinds of settings; it is as strict as before. No test of the new packages yet.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 generate:
 	$(BUF) generate
+	$(BUF) generate platform/schema --template platform/schema/buf.gen.yaml
 
 format:
 	$(LINT) fmt $(MODULES)
--- a/clock.go
+++ b/clock.go
@@ -4,6 +4,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time or a length of time, in milliseconds; points count from the Unix epoch.
@@ -68,3 +70,25 @@
 
 // Advance moves the clock forward.
 func (c *ManualClock) Advance(by Millis) { c.now.Add(int64(by)) }
+
+// BootClock is the time since the machine started; unlike SystemClock it counts the time for which the machine was suspended.
+type BootClock struct{}
+
+// NewBootClock returns a clock that never goes backwards and never stops.
+func NewBootClock() BootClock { return BootClock{} }
+
+// Now returns the time since the machine started.
+func (BootClock) Now() Millis {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // The kernel refuses unknown clocks only.
+	}
+	return Millis(t.Nano() / int64(time.Millisecond))
+}
+
+// After returns a channel that receives the time once the delay has passed.
+func (c BootClock) After(delay Millis) <-chan Millis {
+	ch := make(chan Millis, 1)
+	time.AfterFunc(delay.Duration(), func() { ch <- c.Now() })
+	return ch
+}
--- a/cmd/chicoryhoist/main.go
+++ b/cmd/chicoryhoist/main.go
@@ -12,8 +12,12 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/carry"
 	"chicoryhoist.example/hoist/config"
+	"chicoryhoist.example/hoist/platform"
 	"chicoryhoist.example/hoist/router"
+	"chicoryhoist.example/hoist/value"
 )
 
 // Exit codes of the program.
@@ -28,6 +32,9 @@
 type options struct {
 	Settings string `long:"settings" short:"s" required:"true" description:"settings file in TOML"`
 	Level    string `long:"level" default:"info" description:"lowest level that is logged"`
+	Forward  struct {
+		Check bool `long:"check" description:"check the settings and exit"`
+	} `command:"forward" subcommands-optional:"true" description:"forward requests by the routes of the platform's store"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -35,7 +42,9 @@
 // run runs the program and returns its exit code.
 func run(args []string) int {
 	var o options
-	if _, err := flags.ParseArgs(&o, args); err != nil {
+	parser := flags.NewParser(&o, flags.Default)
+	parser.SubcommandsOptional = true
+	if _, err := parser.ParseArgs(args); err != nil {
 		var help *flags.Error
 		if errors.As(err, &help) && help.Type == flags.ErrHelp {
 			return exitOK
@@ -52,23 +61,62 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	settings, findings := config.ParseSettings(o.Settings, content)
-	if len(findings) > 0 {
-		fmt.Fprintln(os.Stderr, findings.Error())
-		return exitSettings
-	}
+	output := carry.NewOutput(os.Stdout)
+	defer output.Close()
 	logger := logrus.New()
+	logger.SetOutput(output)
 	logger.SetLevel(level)
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if parser.Active != nil && parser.Active.Name == "forward" {
+		settings, findings := config.ParseForwardSettings(o.Settings, content)
+		if len(findings) > 0 || o.Forward.Check {
+			return report(findings)
+		}
+		return exit(forward(ctx, o.Settings, settings, logger))
+	}
+	settings, findings := config.ParseSettings(o.Settings, content)
+	if len(findings) > 0 {
+		return report(findings)
+	}
 	r, err := router.New(settings, logger)
 	if err == nil {
 		err = r.Run(ctx)
 	}
+	return exit(err)
+}
+
+// report prints the findings of a settings file and returns the exit code.
+func report(f hoist.Findings) int {
+	if len(f) == 0 {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, f.Error())
+	return exitSettings
+}
+
+// exit prints why the program failed and returns the exit code.
+func exit(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitFailed
+}
+
+// forward runs a forwarding router on the platform.
+func forward(ctx context.Context, file string, s value.ForwardSettings, logger *logrus.Logger) error {
+	carry.Tune(s.Resources())
+	p, err := carry.New(carry.Options{
+		Settings: s, Logger: logger, Source: platform.NewStore(s.Store().Address()), Dialect: platform.Dialect(),
+	})
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+		return err
 	}
-	return exitOK
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go p.Reload(ctx, reload, file)
+	return p.Run(ctx)
 }
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"chicoryhoist.example/hoist/golden"
 	"chicoryhoist.example/hoist/wire"
@@ -64,10 +65,11 @@
 	ginkgo.It("applies the defaults of the reference", func() {
 		page, err := os.ReadFile("../docs/reference.md")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		m := &wire.Settings{}
-		fillDefaults(m.ProtoReflect())
 		var b bytes.Buffer
-		formatTable(&b, "", m.ProtoReflect())
+		for _, m := range []proto.Message{&wire.Settings{}, &wire.ForwardSettings{}} {
+			fillDefaults(m.ProtoReflect())
+			formatTable(&b, "", m.ProtoReflect())
+		}
 		rows := regexp.MustCompile("(?m)^\\| `(\\w+)` .* default (\\d+)\\.").FindAllStringSubmatch(string(page), -1)
 		gomega.Expect(rows).To(gomega.HaveLen(strings.Count(b.String(), " = ")))
 		for _, r := range rows {
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -69,6 +69,27 @@
 	Denied  = Code{501, logrus.WarnLevel, "operator's credential was refused", "Check who calls the administration interface."}
 )
 
+// Events of the store that a forwarding router reads.
+var (
+	StoreLost       = Code{600, logrus.WarnLevel, "store cannot be read; what is known of it stays in use", "Check the store and the network when it lasts; keyed requests are refused once the age bound has passed."}
+	StoreBack       = Code{601, logrus.InfoLevel, "store can be read again", "None."}
+	StoreCompacted  = Code{602, logrus.InfoLevel, "store has dropped the history; everything is listed again", "None."}
+	RoutesInForce   = Code{603, logrus.InfoLevel, "route table is in force", "None."}
+	EntryUnreadable = Code{604, logrus.WarnLevel, "entry of the store cannot be read and is ignored", "Look for the writer of the key."}
+	ServerListed    = Code{605, logrus.InfoLevel, "backend server is listed", "None."}
+	ServerGone      = Code{606, logrus.InfoLevel, "entry of a backend server was removed", "None."}
+	SettingsRead    = Code{607, logrus.InfoLevel, "settings were read again", "None."}
+	SettingsBad     = Code{608, logrus.ErrorLevel, "settings cannot be used; those in force stay", "Check the findings and correct the file."}
+	LogDropped      = Code{609, logrus.WarnLevel, "log lines were dropped because the output was slow", "Check the reader of standard output."}
+)
+
+// Events of forwarded requests.
+var (
+	Forwarded = Code{700, logrus.InfoLevel, "request has ended", "Read docs/OPERATIONS.md for the way from a request to its cause."}
+	Attempted = Code{701, logrus.InfoLevel, "attempt at a backend server has failed", "Look at the server when it repeats."}
+	Isolated  = Code{702, logrus.WarnLevel, "request was refused because its content has crashed backend servers", "Ask the workspace for the request."}
+)
+
 // Violated reports that an invariant check failed.
 var Violated = Code{900, logrus.ErrorLevel, "invariant violated", "Report it with the log around it; the router keeps serving."}
 
@@ -80,6 +101,8 @@
 		Joined, Failed, Leaving, Owned, Yielded, NoOwner, Refreshed, Replaced,
 		Straggler, Recovered, Crashed, Quarantine, Ordered, Fenced, Unordered,
 		Foreign, Denied,
+		StoreLost, StoreBack, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsRead, SettingsBad, LogDropped,
+		Forwarded, Attempted, Isolated,
 		Violated,
 	}
 }
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,300 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryhoist.example/hoist/assign"
+	"chicoryhoist.example/hoist/event"
+	"chicoryhoist.example/hoist/uplink"
+	"chicoryhoist.example/hoist/value"
+)
+
+const (
+	// wholeBytes is the size up to which an answer is read whole before it is passed on, so that a broken one can be repeated.
+	wholeBytes = 256 << 10
+	// mostUrgency is the lowest urgency that servers know.
+	mostUrgency = 9
+	// lastEvent is the header with which a stream is resumed.
+	lastEvent = "Last-Event-Id"
+)
+
+var (
+	errUnsealed = errors.New("answer does not carry the server's seal")
+	errEncoded  = errors.New("answer has a content encoding that was not asked for")
+	errOrder    = errors.New("event is out of order")
+	errStatus   = errors.New("answer promises that the request has not run without saying so")
+)
+
+// attempt sends the request to the server and passes the answer on.
+func (j *job) attempt(ctx context.Context, id uint64, s value.BackendServer) Outcome {
+	a, err := j.Client.Do(ctx, s.Address(), j.outgoing(s))
+	if err != nil {
+		o := j.broken(ctx, err)
+		j.settle(id, s, o, err)
+		return o
+	}
+	o, err := j.receive(ctx, id, a)
+	if _, whole := o.(Whole); whole {
+		a.Release()
+	} else if _, failed := o.(Failed); failed && err == nil {
+		a.Release()
+	} else if _, notRun := o.(NotRun); notRun && err == nil {
+		a.Release()
+	} else {
+		a.Discard()
+	}
+	j.settle(id, s, o, err)
+	return o
+}
+
+// outgoing returns the request as the server gets it.
+func (j *job) outgoing(s value.BackendServer) uplink.Request {
+	d := j.Dialect
+	h := maps.Clone(j.request.Header)
+	h.Set(d.Deadline(), strconv.FormatInt(max(int64(j.progress.End-j.Clock.Now()), 1), 10))
+	h.Set(d.ExpectServer(), s.Id())
+	h.Set(d.Urgency(), strconv.Itoa(int(min(max(j.rank, 0), mostUrgency))))
+	if j.holder.Name() != "" {
+		h.Set(d.Workspace(), j.holder.Name())
+	}
+	if j.numbered {
+		h.Set(lastEvent, strconv.FormatInt(j.last, 10))
+	}
+	return uplink.Request{
+		Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: h, Body: j.request.Body,
+		Marker: d.RequestId(), Mark: j.request.ID,
+	}
+}
+
+// broken returns the outcome of an exchange that failed before its answer began.
+func (j *job) broken(ctx context.Context, err error) Outcome {
+	switch {
+	case errors.Is(err, uplink.ErrUnsent) && ctx.Err() == nil:
+		return Unsent{}
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), errExpired):
+		return Expired{}
+	case ctx.Err() != nil:
+		return Left{}
+	default:
+		return Lost{}
+	}
+}
+
+// settle reports the end of an attempt to the desk and logs a failed one.
+func (j *job) settle(id uint64, s value.BackendServer, o Outcome, err error) {
+	result := assign.Done
+	switch o.(type) {
+	case Whole:
+		j.reason = "done"
+	case Left:
+		result, j.reason = assign.Left, "caller left"
+	case Expired:
+		result = assign.Left
+	case Unsent:
+		result = assign.Unreachable
+	case NotRun:
+		result = assign.Full
+	case Lost, Failed, Cut:
+		result = assign.Failing
+	}
+	j.desk.post(assign.Ended{ID: id, Result: result})
+	if result == assign.Done || result == assign.Left {
+		return
+	}
+	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "address": s.Address(), "sends": j.progress.Sends + 1, "outcome": outcomeName(o)}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	j.Log.Write(event.Attempted, fields)
+}
+
+// outcomeName returns the name of an outcome in logs.
+func outcomeName(o Outcome) string {
+	switch o.(type) {
+	case Unsent:
+		return "unsent"
+	case NotRun:
+		return "not run"
+	case Lost:
+		return "lost"
+	case Failed:
+		return "failed"
+	case Cut:
+		return "cut"
+	case Whole:
+		return "whole"
+	case Left:
+		return "caller left"
+	case Expired:
+		return "expired"
+	default:
+		return "unknown"
+	}
+}
+
+// receive judges the header of the answer and passes the body on.
+func (j *job) receive(ctx context.Context, id uint64, a *uplink.Answer) (Outcome, error) {
+	d := j.Dialect
+	if a.Header.Get(d.NotRun()) != "" || a.Status == int(d.MovedStatus()) {
+		_, err := io.Copy(io.Discard, io.LimitReader(a, wholeBytes))
+		return NotRun{}, err
+	}
+	if a.Header.Get(d.Seal()) == "" {
+		return j.lost(ctx, errUnsealed)
+	}
+	if a.Header.Get("Content-Encoding") != "" {
+		return j.lost(ctx, errEncoded)
+	}
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return j.lost(ctx, errStatus)
+	}
+	load, loaded := parseLoad(a.Header.Get(d.Load()))
+	if a.Status/100 == 2 && j.route.Kind() == value.RouteKindStream {
+		return j.stream(ctx, a, func() { j.desk.post(assign.Began{ID: id, Load: load, Loaded: loaded}) })
+	}
+	j.desk.post(assign.Began{ID: id, Load: load, Loaded: loaded})
+	return j.whole(ctx, a)
+}
+
+// lost returns the outcome of an answer that cannot be used, unless the time or the caller ended it.
+func (j *job) lost(ctx context.Context, err error) (Outcome, error) {
+	o := j.broken(ctx, err)
+	if _, lost := o.(Lost); lost && j.progress.Started {
+		return Cut{}, err
+	}
+	return o, err
+}
+
+// whole passes on an answer that is read whole first, or in pieces when it is long.
+func (j *job) whole(ctx context.Context, a *uplink.Answer) (Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(a, wholeBytes))
+	if err != nil {
+		return j.lost(ctx, err)
+	}
+	header := passed(a.Header)
+	if a.Status/100 == 5 && len(body) < wholeBytes {
+		j.failed = &answer{a.Status, header, body}
+		return Failed{}, nil
+	}
+	length := a.Length
+	if len(body) < wholeBytes {
+		length = int64(len(body))
+	}
+	j.begin(a.Status, header, length)
+	err = j.caller.Write(body)
+	if err == nil && len(body) == wholeBytes {
+		_, err = io.Copy(writer{j.caller}, a)
+	}
+	if err != nil {
+		return j.lost(ctx, err)
+	}
+	return Whole{}, nil
+}
+
+// writer passes pieces of a body on.
+type writer struct{ caller Caller }
+
+// Write sends a piece to the caller.
+func (w writer) Write(b []byte) (int, error) {
+	if err := w.caller.Write(b); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// begin sends the header of the answer; only the first server of a resumed stream does.
+func (j *job) begin(status int, header http.Header, length int64) {
+	if j.progress.Started {
+		return
+	}
+	j.progress.Started = true
+	j.first = j.Clock.Now() - j.request.Arrived
+	j.caller.Start(status, header, length)
+}
+
+// stream passes whole events on as they arrive.
+func (j *job) stream(ctx context.Context, a *uplink.Answer, began func()) (Outcome, error) {
+	events := uplink.NewEvents(a)
+	for first := true; ; first = false {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !first {
+			return Whole{}, nil
+		}
+		if err == nil {
+			err = j.ordered(e)
+		}
+		if err != nil {
+			return j.lost(ctx, err)
+		}
+		if first {
+			began()
+		}
+		j.begin(a.Status, passed(a.Header), -1)
+		if err := j.caller.Write(e.Data); err != nil {
+			return Left{}, err
+		}
+		if e.Numbered {
+			j.last, j.numbered = e.ID, true
+		}
+	}
+}
+
+// ordered returns an error for an event that doesn't follow the last one.
+func (j *job) ordered(e uplink.Event) error {
+	if e.Numbered && j.numbered && e.ID != j.last+1 {
+		return errOrder
+	}
+	return nil
+}
+
+// connectionFields are the header fields that concern one connection only.
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Content-Length", "Expect",
+}
+
+// WithoutConnection returns a copy of the header without the fields that concern one connection only.
+func WithoutConnection(h http.Header) http.Header {
+	out := maps.Clone(h)
+	for _, f := range h["Connection"] {
+		for name := range strings.SplitSeq(f, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionFields {
+		delete(out, name)
+	}
+	return out
+}
+
+// passed returns the fields of an answer that are passed on.
+func passed(h http.Header) http.Header { return WithoutConnection(h) }
+
+// loadFields is the number of figures of a load report that every server gives.
+const loadFields = 3
+
+// parseLoad reads the load report of a server.
+func parseLoad(text string) (value.ServerLoad, bool) {
+	fields := strings.Split(text, ",")
+	if len(fields) < loadFields {
+		return value.ServerLoad{}, false
+	}
+	var n [4]int32
+	for i, f := range fields[:min(len(fields), len(n))] {
+		v, err := strconv.ParseInt(strings.TrimSpace(f), 10, 32)
+		if err != nil {
+			return value.ServerLoad{}, false
+		}
+		n[i] = int32(v)
+	}
+	return value.ServerLoad{}.WithRunning(n[0]).WithWaiting(n[1]).WithSlots(n[2]).WithSlowness(n[3]), true
+}
--- /dev/null
+++ b/relay/decide.go
@@ -0,0 +1,150 @@
+package relay
+
+import "chicoryhoist.example/hoist"
+
+// Outcome is what one attempt at a server has come to.
+//
+//sumtype:decl
+type Outcome interface{ isOutcome() }
+
+// Unsent attempts have sent no byte.
+type Unsent struct{}
+
+// NotRun attempts were refused by a server that says that it has not run the request.
+type NotRun struct{}
+
+// Lost attempts were sent and have no valid answer, so the request may have run.
+type Lost struct{}
+
+// Failed attempts have a complete answer that reports an error.
+type Failed struct{}
+
+// Cut attempts broke off after a part of the answer was passed on.
+type Cut struct{}
+
+// Whole attempts have passed the whole answer on.
+type Whole struct{}
+
+// Left attempts ended because the caller has left.
+type Left struct{}
+
+// Expired attempts ended because the time of the request is over.
+type Expired struct{}
+
+func (Unsent) isOutcome()  {}
+func (NotRun) isOutcome()  {}
+func (Lost) isOutcome()    {}
+func (Failed) isOutcome()  {}
+func (Cut) isOutcome()     {}
+func (Whole) isOutcome()   {}
+func (Left) isOutcome()    {}
+func (Expired) isOutcome() {}
+
+// Step is what to do after an attempt.
+//
+//sumtype:decl
+type Step interface{ isStep() }
+
+// Again asks for another server; Charged repeats count against the budget.
+type Again struct{ Charged bool }
+
+// Pass passes the server's error on.
+type Pass struct{}
+
+// Reject answers that the request has not run.
+type Reject struct{}
+
+// Fail answers that a server failed.
+type Fail struct{}
+
+// TimeOut answers that the time is over and the request may have run.
+type TimeOut struct{}
+
+// Abort breaks the answer off.
+type Abort struct{}
+
+// Finish ends the request; nothing more is to be sent.
+type Finish struct{}
+
+func (Again) isStep()   {}
+func (Pass) isStep()    {}
+func (Reject) isStep()  {}
+func (Fail) isStep()    {}
+func (TimeOut) isStep() {}
+func (Abort) isStep()   {}
+func (Finish) isStep()  {}
+
+// sendMost bounds the attempts of one request that did not run, such as connections that were refused.
+const sendMost = 5
+
+// leftLeast is the time below which another attempt has no chance to be answered.
+const leftLeast = 10 * hoist.Millis(1)
+
+// Progress is the immutable state of one request between its attempts.
+type Progress struct {
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// Attempts is the number of servers that may run the request.
+	Attempts int
+	// Sends counts all attempts, Runs those that may have run.
+	Sends, Runs int
+	// Started is set once a part of an answer was passed on.
+	Started bool
+	// End is the time at which the request must have its answer.
+	End hoist.Millis
+}
+
+// After returns the progress after an attempt and the next step; budget says whether a repeat may be charged.
+func (p Progress) After(o Outcome, budget bool, now hoist.Millis) (Progress, Step) {
+	p.Sends++
+	switch o.(type) {
+	case Whole, Left:
+		return p, Finish{}
+	case Unsent:
+		return p, p.unrun(true, false, now)
+	case NotRun:
+		return p, p.unrun(budget, true, now)
+	case Lost:
+		p.Runs++
+		return p, p.ran(budget, now, Fail{})
+	case Failed:
+		p.Runs++
+		return p, p.ran(budget, now, Pass{})
+	case Cut:
+		p.Runs++
+		return p, p.ran(budget, now, Abort{})
+	case Expired:
+		p.Runs++
+		if p.Started {
+			return p, Abort{}
+		}
+		return p, TimeOut{}
+	default:
+		return p, Abort{}
+	}
+}
+
+// unrun returns the step after an attempt that has not run.
+func (p Progress) unrun(budget, charged bool, now hoist.Millis) Step {
+	switch {
+	case budget && p.Sends < sendMost && now+leftLeast < p.End:
+		return Again{Charged: charged}
+	case p.Started:
+		return Abort{}
+	case p.Runs > 0:
+		return Fail{}
+	default:
+		return Reject{}
+	}
+}
+
+// ran returns the step after an attempt that may have run; last is the one without another attempt.
+func (p Progress) ran(budget bool, now hoist.Millis, last Step) Step {
+	if p.Repeatable && p.Runs < p.Attempts && budget && p.Sends < sendMost && now+leftLeast < p.End {
+		return Again{Charged: true}
+	}
+	if p.Started {
+		return Abort{}
+	}
+	return last
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/assign"
+	"chicoryhoist.example/hoist/event"
+	"chicoryhoist.example/hoist/feed"
+	"chicoryhoist.example/hoist/retry"
+	"chicoryhoist.example/hoist/route"
+	"chicoryhoist.example/hoist/uplink"
+	"chicoryhoist.example/hoist/value"
+)
+
+const (
+	// DefaultPatience is the time that a caller waits who doesn't say.
+	DefaultPatience = 60 * hoist.Second
+	// budgetBurst is the number of repeats that one instance may make at once; the slack of the deployment covers it for every instance together.
+	budgetBurst = 3
+	// budgetShare is the part of the fleet's share of repeats that requests earn, in tenths; the rest covers uneven windows.
+	budgetShare = 8
+	// keyAgeTenths is the part of the revocation bound up to which a proof counts, in tenths; the rest covers a watch that hears nothing for a moment and the way of a request to its server.
+	keyAgeTenths = 8
+	// proofPause is the time after which a caller whose key cannot be checked should try again.
+	proofPause = 300 * hoist.Millis(1)
+)
+
+// Options are the parts that a relay works with.
+type Options struct {
+	Clock    hoist.Clock
+	Client   *uplink.Client
+	Dialect  value.Dialect
+	Follower *feed.Follower
+	Settings value.ForwardSettings
+	Log      *event.Log
+	Metrics  *Metrics
+}
+
+// Relay forwards requests.
+type Relay struct {
+	Options
+	ctx    context.Context
+	desks  atomic.Pointer[map[string]*desk]
+	serial atomic.Uint64
+	active atomic.Int64
+}
+
+// New returns a relay whose goroutines run until ctx ends.
+func New(ctx context.Context, o Options) *Relay {
+	r := &Relay{Options: o, ctx: ctx}
+	r.desks.Store(&map[string]*desk{})
+	return r
+}
+
+// Active returns the number of requests in progress.
+func (r *Relay) Active() int64 { return r.active.Load() }
+
+// Follow takes over a new view of the store; it is called from one goroutine.
+func (r *Relay) Follow(_, v *feed.View) {
+	servers := map[string][]value.BackendServer{}
+	addresses := map[string]bool{}
+	for s := range v.Servers.All() {
+		servers[s.Service()] = append(servers[s.Service()], s)
+		addresses[s.Address()] = true
+	}
+	var services []string
+	if v.Table != nil {
+		services = v.Table.Services()
+	}
+	old := *r.desks.Load()
+	next := make(map[string]*desk, len(services))
+	for k, d := range old {
+		next[k] = d
+	}
+	for _, s := range services {
+		if _, ok := next[s]; !ok {
+			state := assign.New(r.Settings.Datacentre(), assign.DefaultRules())
+			next[s] = newDesk(r.ctx, r.Clock, state, retry.NewBucket(budgetBurst, budgetBurst))
+		}
+	}
+	r.desks.Store(&next)
+	for k, d := range next {
+		d.post(assign.Listed{Servers: value.ListOf(servers[k]...)})
+	}
+	r.Client.Retain(func(a string) bool { return addresses[a] })
+}
+
+// Proved reports whether keys can be checked at the time.
+func (r *Relay) Proved(now hoist.Millis) bool {
+	return r.Follower.View().Age(now) <= hoist.Millis(r.Settings.Bounds().RevokeMs())*keyAgeTenths/10
+}
+
+// Ready reports whether the instance can serve callers.
+func (r *Relay) Ready() bool {
+	v := r.Follower.View()
+	return v.Table != nil && r.Proved(r.Clock.Now())
+}
+
+// job is one admitted request.
+type job struct {
+	*Relay
+	request  Request
+	caller   Caller
+	route    value.Route
+	holder   value.KeyHolder
+	rank     int32
+	desk     *desk
+	service  string
+	progress Progress
+	avoid    value.List[string]
+	// last is the number of the last event that was passed on, and numbered says that there was one.
+	last     int64
+	numbered bool
+	// server, first, reason and tail describe the request in the log.
+	server string
+	first  hoist.Millis
+	reason string
+	view   *feed.View
+	// failed is the complete error answer of the last attempt.
+	failed *answer
+}
+
+// Serve forwards one request and answers its caller; ctx ends when the caller leaves.
+func (r *Relay) Serve(ctx context.Context, q Request, c Caller) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	j := &job{Relay: r, request: q, caller: c, view: r.Follower.View()}
+	if f := j.admit(); f != nil {
+		j.refuse(f)
+		j.end()
+		return
+	}
+	j.desk.earn(r.Settings.Retries().Permille() * budgetShare / 10)
+	ctx, cancel := context.WithTimeoutCause(ctx, (j.progress.End - r.Clock.Now()).Duration(), errExpired)
+	defer cancel()
+	j.serve(ctx)
+	j.end()
+}
+
+// errExpired is the cause of a context whose request has run out of time.
+var errExpired = errors.New("time of the request is over")
+
+// admit checks route, key and time of the request; it returns the fault that refuses it.
+func (j *job) admit() Fault {
+	t := j.view.Table
+	if t == nil {
+		return Unready{}
+	}
+	var ok bool
+	if j.route, ok = t.Match(j.request.Host, j.request.Path); !ok {
+		return NoRoute{}
+	}
+	if t.Keyed(j.route) {
+		if j.holder, ok = t.Holder(j.request.Key); !ok {
+			return NoKey{}
+		}
+		if !j.Proved(j.Clock.Now()) {
+			return Unproved{After: proofPause}
+		}
+	}
+	j.rank = route.Rank(j.route, j.holder)
+	j.service = route.Service(j.route, j.request.ID)
+	if j.desk, ok = (*j.desks.Load())[j.service]; !ok {
+		return Unready{}
+	}
+	end := DefaultPatience
+	if j.request.Patience > 0 {
+		end = j.request.Patience
+	}
+	if t := hoist.Millis(j.route.TimeoutMs()); t > 0 {
+		end = min(end, t)
+	}
+	j.progress = Progress{
+		Repeatable: route.Repeatable(j.route),
+		Attempts:   max(int(j.route.Attempts()), 1),
+		End:        j.request.Arrived + end,
+	}
+	return nil
+}
+
+// serve makes attempts until one of them or the time ends the request.
+func (j *job) serve(ctx context.Context) {
+	for {
+		id := j.serial.Add(1)
+		granted, ok := j.desk.ask(ctx, j.work(id)).(assign.Grant)
+		if !ok {
+			j.unplaced(ctx)
+			return
+		}
+		j.server = granted.Server.Id()
+		o := j.attempt(ctx, id, granted.Server)
+		var step Step
+		j.progress, step = j.progress.After(o, j.budget(o), j.Clock.Now())
+		if _, again := step.(Again); again {
+			j.avoid = j.avoid.Append(granted.Server.Id())
+			continue
+		}
+		j.finish(step)
+		return
+	}
+}
+
+// budget takes a repeat out of the budget when the outcome may lead to one that reaches a server twice.
+func (j *job) budget(o Outcome) bool {
+	switch o.(type) {
+	case NotRun:
+		return j.desk.charge()
+	case Lost, Failed, Cut:
+		return j.progress.Repeatable && j.progress.Runs+1 < j.progress.Attempts && j.desk.charge()
+	default:
+		return true
+	}
+}
+
+// unplaced ends a request for which no server was found.
+func (j *job) unplaced(ctx context.Context) {
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errExpired):
+		j.reason = "caller left"
+	case j.progress.Started:
+		j.finish(Abort{})
+	case j.progress.Runs > 0:
+		j.finish(Fail{})
+	default:
+		j.finish(Reject{})
+	}
+}
+
+// work returns what the desk needs to know of the request.
+func (j *job) work(id uint64) value.Work {
+	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
+		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.End)).WithAvoid(j.avoid)
+}
+
+// finish answers the caller.
+func (j *job) finish(s Step) {
+	switch s := s.(type) {
+	case Pass:
+		j.reason = "server error"
+		j.caller.Start(j.failed.status, j.failed.header, int64(len(j.failed.body)))
+		_ = j.caller.Write(j.failed.body) // A caller that has left is seen by its context.
+	case Reject:
+		now := j.Clock.Now()
+		j.refuse(Busy{After: max(j.progress.End-now, 0) / comebackPart})
+	case Fail:
+		j.refuse(Broken{})
+	case TimeOut:
+		j.refuse(Late{})
+	case Abort:
+		j.reason = "broken off"
+		j.caller.Abort()
+	case Finish:
+	case Again:
+		panic("relay: unfinished request: " + strconv.FormatBool(s.Charged))
+	}
+}
+
+// comebackPart divides the time that is left for a refused caller, so that a second attempt still has time to run.
+const comebackPart = 8
+
+// refuse answers with an error of the router's own.
+func (j *job) refuse(f Fault) {
+	j.reason = FaultName(f)
+	j.caller.Refuse(f)
+}
+
+// end logs and counts the request.
+func (j *job) end() {
+	now := j.Clock.Now()
+	whole := now - j.request.Arrived
+	j.Metrics.ended(j, whole)
+	fields := logrus.Fields{
+		"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name(), "rank": j.rank, "service": j.service,
+		"server": j.server, "sends": j.progress.Sends, "runs": j.progress.Runs, "first_ms": j.first, "whole_ms": whole,
+		"result": j.reason, "age_ms": j.view.Age(now),
+	}
+	if j.view.Table != nil {
+		fields["version"] = j.view.Table.Version()
+	}
+	j.Log.Write(event.Forwarded, fields)
+}
+
+// FaultName returns the name of a fault in logs, metrics and answers.
+func FaultName(f Fault) string {
+	switch f.(type) {
+	case Unready:
+		return "unready"
+	case NoRoute:
+		return "no_route"
+	case NoKey:
+		return "no_key"
+	case Unproved:
+		return "unproved"
+	case Busy:
+		return "busy"
+	case Isolated:
+		return "isolated"
+	case Late:
+		return "late"
+	case Broken:
+		return "broken"
+	default:
+		return "unknown"
+	}
+}
+
+// answer is a complete answer of a server.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
