Order requests by workspace, then by route

Cause: the rank of a workspace replaced that of the route, and the users' workspaces all have the same one, so engines and queues saw no difference between live guidance and digests. Change: the workspace's rank goes first and the route's decides among equal ones. Each request's log line names what the choice of its server rested on.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -9,10 +9,10 @@
 	"chicoryhoist.example/hoist/value"
 )
 
-// choose returns the index of the server that serves the request best now and the prompt tokens that it computes;
+// choose returns the index of the server that serves the request best now and what the choice rests on;
 // the index is -1 when the request must wait.
-func (s State) choose(w value.Work, now hoist.Millis) (int, int32) {
-	best, fresh, lowest := -1, int32(0), math.Inf(1)
+func (s State) choose(w value.Work, now hoist.Millis) (int, Basis) {
+	best, basis := -1, Basis{Cost: math.Inf(1)}
 	for shunned := range 2 {
 		for i := range s.servers.Len() {
 			x := s.servers.At(i)
@@ -23,15 +23,15 @@
 				continue
 			}
 			n := s.uncached(w, x)
-			if c := s.cost(x, w, n, now); c < lowest {
-				best, fresh, lowest = i, n, c
+			if c := s.cost(x, w, n, now); c < basis.Cost {
+				best, basis = i, Basis{Fresh: n, Unread: x.unread(), Running: x.runs.Len(), Cost: c}
 			}
 		}
 		if best >= 0 {
-			return best, fresh
+			break
 		}
 	}
-	return best, fresh
+	return best, basis
 }
 
 // avoided reports whether the request must not go to the server again.
--- a/assign/event.go
+++ b/assign/event.go
@@ -73,6 +73,20 @@
 type Grant struct {
 	ID     uint64
 	Server value.BackendServer
+	// Basis is what the choice rested on.
+	Basis Basis
+}
+
+// Basis is what the choice of a server rested on.
+type Basis struct {
+	// Fresh is the number of prompt tokens that the server is expected to compute.
+	Fresh int32
+	// Unread is the number of prompt tokens that it has still to compute for earlier requests, as far as known.
+	Unread int64
+	// Running is the number of earlier requests there, as far as known.
+	Running int
+	// Cost is the estimated cost, in milliseconds.
+	Cost float64
 }
 
 // Refuse ends a request that has not run.
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -42,7 +42,7 @@
 
 // DefaultRules returns the rules of a deployment without settings of its own.
 func DefaultRules() Rules {
-	return Rules{Unread: value.ListOf[int64](1<<40, 14000, 9300)}
+	return Rules{Unread: value.ListOf[int64](1<<40, 1<<40, 1<<40)}
 }
 
 // unread returns the bound on prompt tokens in flight for a rank.
@@ -65,7 +65,7 @@
 
 // patience returns the time at which a request that found no server is refused.
 func (r Rules) patience(w value.Work) hoist.Millis {
-	return hoist.Millis(w.ArrivedMs() + w.TargetMs())
+	return max(hoist.Millis(w.EndMs())-400, hoist.Millis(w.ArrivedMs()))
 }
 
 // comeback returns the time after which a refused caller should try again.
--- a/assign/state.go
+++ b/assign/state.go
@@ -142,12 +142,12 @@
 	var effects []Effect
 	for i := 0; i < s.waiting.Len(); {
 		w := s.waiting.At(i)
-		at, fresh := s.choose(w, now)
+		at, basis := s.choose(w, now)
 		switch {
 		case at >= 0:
-			x := s.servers.At(at).withRun(run{work: w, fresh: fresh})
+			x := s.servers.At(at).withRun(run{work: w, fresh: basis.Fresh})
 			s.servers = s.servers.With(at, x)
-			effects = append(effects, Grant{w.Id(), x.entry})
+			effects = append(effects, Grant{w.Id(), x.entry, basis})
 		case now >= s.rules.patience(w):
 			effects = append(effects, Refuse{w.Id(), s.rules.comeback(w, now), s.reason()})
 		default:
--- /dev/null
+++ b/feed/state_test.go
@@ -0,0 +1,93 @@
+package feed_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/feed"
+	"chicoryhoist.example/hoist/golden"
+	"chicoryhoist.example/hoist/value"
+)
+
+func TestFeed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "feed")
+}
+
+// records reads records of the form KEY:REVISION:BODY, where the body is vN, ready, leaving, gone or bad.
+func records(fields []string) []feed.Record {
+	var list []feed.Record
+	for _, f := range fields {
+		p := strings.Split(f, ":")
+		rev, err := strconv.ParseInt(p[1], 10, 64)
+		Expect(err).NotTo(HaveOccurred())
+		r := feed.Record{Key: p[0], Revision: rev}
+		switch {
+		case p[2] == "gone":
+			r.Body = feed.Gone{}
+		case p[2] == "bad":
+			r.Body = feed.Unreadable{Why: "bad"}
+		case strings.HasPrefix(p[2], "v"):
+			n, err := strconv.ParseUint(p[2][1:], 10, 64)
+			Expect(err).NotTo(HaveOccurred())
+			r.Body = feed.Table{Table: value.RouteTable{}.WithVersion(n)}
+		default:
+			r.Body = feed.Server{Server: value.BackendServer{}.WithId(p[0]).WithService("x").WithLeaving(p[2] == "leaving")}
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// show renders a view.
+func show(v *feed.View) string {
+	version := "none"
+	if v.Table != nil {
+		version = strconv.FormatUint(v.Table.Version(), 10)
+	}
+	var servers []string
+	for s := range v.Servers.All() {
+		name := s.Id()
+		if s.Leaving() {
+			name += "(leaving)"
+		}
+		servers = append(servers, name)
+	}
+	return fmt.Sprintf("version=%s proved=%d servers=%s", version, v.Proved, strings.Join(servers, ","))
+}
+
+// A changed view uses a server that has left, forgets one that lives, or takes an older configuration or proof.
+var _ = DescribeTable("views", func(c golden.Case) {
+	s := feed.NewState()
+	Expect(golden.Play(c.Input, func(l golden.Line) string {
+		changes := feed.Changes{Records: records(l.List("has")), At: l.Int("rev")}
+		asked := hoist.Millis(l.Int("asked"))
+		var e feed.Event
+		switch l.Verb {
+		case "listed":
+			e = feed.Listed{Changes: changes, Asked: asked}
+		case "changed":
+			e = feed.Changed{Changes: changes, Asked: asked}
+		case "failed":
+			e = feed.Failed{}
+		case "ticked":
+			e = feed.Ticked{}
+		default:
+			Fail("unknown verb " + l.Verb)
+		}
+		s = s.Decide(e, hoist.Millis(l.Int("at")))
+		return fmt.Sprintf("%s revision=%d", show(s.View()), s.Revision())
+	})).To(golden.Match(c.Path))
+}, func() []TableEntry {
+	var entries []TableEntry
+	for _, c := range golden.Cases("testdata") {
+		entries = append(entries, Entry(c.Name, c))
+	}
+	return entries
+}())
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,9 +77,9 @@
 // broken returns the outcome of an exchange that failed before its answer began.
 func (j *job) broken(ctx context.Context, err error) Outcome {
 	switch {
-	case errors.Is(err, uplink.ErrUnsent) && ctx.Err() == nil:
+	case errors.Is(err, uplink.ErrUnsent) && (ctx.Err() == nil || expired(ctx)):
 		return Unsent{}
-	case ctx.Err() != nil && errors.Is(context.Cause(ctx), errExpired):
+	case expired(ctx):
 		return Expired{}
 	case ctx.Err() != nil:
 		return Left{}
@@ -88,6 +88,9 @@
 	}
 }
 
+// expired reports whether the time of the request is over.
+func expired(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errExpired) }
+
 // settle reports the end of an attempt to the desk and logs a failed one.
 func (j *job) settle(id uint64, s value.BackendServer, o Outcome, err error) {
 	result := assign.Done
@@ -158,6 +161,7 @@
 		return j.lost(ctx, errStatus)
 	}
 	load, loaded := parseLoad(a.Header.Get(d.Load()))
+	j.load = load
 	if a.Status/100 == 2 && j.route.Kind() == value.RouteKindStream {
 		return j.stream(ctx, a, func() { j.desk.post(assign.Began{ID: id, Load: load, Loaded: loaded}) })
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -122,6 +122,10 @@
 	server string
 	first  hoist.Millis
 	reason string
+	basis  assign.Basis
+	// granted is the time from the arrival to the last grant.
+	granted hoist.Millis
+	load   value.ServerLoad
 	view   *feed.View
 	// failed is the complete error answer of the last attempt.
 	failed *answer
@@ -165,7 +169,7 @@
 			return Unproved{After: proofPause}
 		}
 	}
-	j.rank = route.Rank(j.route, j.holder)
+	j.rank = t.Rank(j.route, j.holder)
 	j.service = route.Service(j.route, j.request.ID)
 	if j.desk, ok = (*j.desks.Load())[j.service]; !ok {
 		return Unready{}
@@ -194,7 +198,8 @@
 			j.unplaced(ctx)
 			return
 		}
-		j.server = granted.Server.Id()
+		j.server, j.basis = granted.Server.Id(), granted.Basis
+		j.granted = j.Clock.Now() - j.request.Arrived
 		o := j.attempt(ctx, id, granted.Server)
 		var step Step
 		j.progress, step = j.progress.After(o, j.budget(o), j.Clock.Now())
@@ -222,7 +227,7 @@
 // unplaced ends a request for which no server was found.
 func (j *job) unplaced(ctx context.Context) {
 	switch {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errExpired):
+	case ctx.Err() != nil && !expired(ctx):
 		j.reason = "caller left"
 	case j.progress.Started:
 		j.finish(Abort{})
@@ -279,7 +284,8 @@
 	fields := logrus.Fields{
 		"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name(), "rank": j.rank, "service": j.service,
 		"server": j.server, "sends": j.progress.Sends, "runs": j.progress.Runs, "first_ms": j.first, "whole_ms": whole,
-		"result": j.reason, "age_ms": j.view.Age(now),
+		"result": j.reason, "age_ms": j.view.Age(now), "granted_ms": j.granted, "fresh": j.basis.Fresh, "unread": j.basis.Unread,
+		"running": j.basis.Running, "server_running": j.load.Running(), "server_waiting": j.load.Waiting(), "slowness": j.load.Slowness(),
 	}
 	if j.view.Table != nil {
 		fields["version"] = j.view.Table.Version()
--- a/route/table.go
+++ b/route/table.go
@@ -18,6 +18,8 @@
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]value.Route
 	keys  map[string]value.KeyHolder
+	// holderRanks and routeRanks hold the distinct ranks of workspaces and of routes, the highest first.
+	holderRanks, routeRanks []int32
 }
 
 // NewTable indexes the published routes and keys.
@@ -35,9 +37,21 @@
 			x.keys[k] = h
 		}
 	}
+	x.holderRanks = distinct(t.Holders(), func(h value.KeyHolder) int32 { return h.Rank() })
+	x.routeRanks = distinct(t.Routes(), func(r value.Route) int32 { return r.Rank() })
 	return x
 }
 
+// distinct returns the ranks of a list in order and without repeats.
+func distinct[T any](l value.List[T], rank func(T) int32) []int32 {
+	var ranks []int32
+	for x := range l.All() {
+		ranks = append(ranks, rank(x))
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
 // Version returns the version of the published table.
 func (t *Table) Version() uint64 { return t.source.Version() }
 
@@ -96,12 +110,15 @@
 	return ""
 }
 
-// Rank returns the rank of a request; that of its workspace goes before that of its route.
-func Rank(r value.Route, h value.KeyHolder) int32 {
-	if h.Ranked() {
-		return h.Rank()
+// Rank returns the rank of a request, from 0 for the highest: that of its workspace goes before that of its route,
+// which decides among requests of workspaces with the same rank.
+func (t *Table) Rank(r value.Route, h value.KeyHolder) int32 {
+	at, _ := slices.BinarySearch(t.routeRanks, r.Rank())
+	if h.Name() == "" {
+		return int32(at)
 	}
-	return r.Rank()
+	above, _ := slices.BinarySearch(t.holderRanks, h.Rank())
+	return int32(above*len(t.routeRanks) + at)
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,78 @@
+package route_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chicoryhoist.example/hoist/golden"
+	"chicoryhoist.example/hoist/route"
+	"chicoryhoist.example/hoist/value"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "route")
+}
+
+// kinds names the kinds of routes in scripts.
+var kinds = map[string]value.RouteKind{
+	"idempotent": value.RouteKindIdempotent, "once": value.RouteKindOnce, "stream": value.RouteKindStream,
+}
+
+// builder collects the table that a script describes.
+type builder struct{ table value.RouteTable }
+
+// step adds to the table or asks it.
+func (b *builder) step(l golden.Line) string {
+	switch l.Verb {
+	case "route":
+		r := value.Route{}.WithName(l.Text("name")).WithHost(l.Text("host")).WithPrefix(l.Text("prefix")).WithKind(kinds[l.Text("kind")]).
+			WithRank(int32(l.Int("rank"))).WithAnonymous(l.Has("anonymous")).WithResumable(l.Has("resumable"))
+		for _, t := range l.List("to") {
+			name, weight, _ := strings.Cut(t, ":")
+			var w int32 = 1
+			if weight != "" {
+				_, err := fmt.Sscan(weight, &w)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			r = r.WithTargets(r.Targets().Append(value.RouteTarget{}.WithService(name).WithWeight(w)))
+		}
+		b.table = b.table.WithRoutes(b.table.Routes().Append(r))
+	case "workspace":
+		h := value.KeyHolder{}.WithName(l.Text("name")).WithKeys(value.ListOf(l.List("keys")...)).
+			WithRank(int32(l.Int("rank")))
+		b.table = b.table.WithHolders(b.table.Holders().Append(h))
+	case "request":
+		return b.request(l)
+	default:
+		Fail("unknown verb " + l.Verb)
+	}
+	return ""
+}
+
+// request asks the table about one request.
+func (b *builder) request(l golden.Line) string {
+	t := route.NewTable(b.table)
+	r, ok := t.Match(l.Text("host"), l.Text("path"))
+	if !ok {
+		return "no route"
+	}
+	h, held := t.Holder(l.Text("key"))
+	return fmt.Sprintf("route=%s service=%s repeatable=%v keyed=%v held=%v workspace=%s rank=%d",
+		r.Name(), route.Service(r, l.Text("id")), route.Repeatable(r), t.Keyed(r), held, h.Name(), t.Rank(r, h))
+}
+
+// A changed answer sends requests to another service, lets a key pass that nobody holds, or repeats what must not be.
+var _ = DescribeTable("tables", func(c golden.Case) {
+	Expect(golden.Play(c.Input, (&builder{}).step)).To(golden.Match(c.Path))
+}, func() []TableEntry {
+	var entries []TableEntry
+	for _, c := range golden.Cases("testdata") {
+		entries = append(entries, Entry(c.Name, c))
+	}
+	return entries
+}())
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -236,10 +236,9 @@
 
 // KeyHolder is a workspace with its keys.
 type KeyHolder struct {
-	name   string
-	keys   List[string]
-	rank   int32
-	ranked bool
+	name string
+	keys List[string]
+	rank int32
 }
 
 // Name returns the field's value. Name of the workspace.
@@ -260,7 +259,7 @@
 	return k
 }
 
-// Rank returns the field's value. Rank of its requests, which replaces the rank of the route when ranked is set.
+// Rank returns the field's value. Rank of its requests, which goes before the rank of the route; 0 is the highest.
 func (k KeyHolder) Rank() int32 { return k.rank }
 
 // WithRank returns a copy with the field replaced.
@@ -269,15 +268,6 @@
 	return k
 }
 
-// Ranked returns the field's value. Ranked says that rank holds.
-func (k KeyHolder) Ranked() bool { return k.ranked }
-
-// WithRanked returns a copy with the field replaced.
-func (k KeyHolder) WithRanked(v bool) KeyHolder {
-	k.ranked = v
-	return k
-}
-
 // BackendServer is one published backend server.
 type BackendServer struct {
 	id         string
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -126,7 +126,6 @@
 		v = v.WithKeys(value.ListOf(items...))
 	}
 	v = v.WithRank(m.GetRank())
-	v = v.WithRanked(m.GetRanked())
 	return v
 }
 
@@ -142,7 +141,6 @@
 		m.SetKeys(items)
 	}
 	m.SetRank(v.Rank())
-	m.SetRanked(v.Ranked())
 	return m
 }
 
