Place requests at the owner of a shard

Change: instances find each other through seeds and heartbeats by datagrams (package mesh on the existing member package); the owner of a shard by rendezvous hashing decides for all, and an instance whose owner is silent for 60 ms decides by itself. The owner knows which prompt parts each server has computed and when. Single errors no longer shun a server, which with one owner had emptied it for the whole fleet.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/value"
 )
@@ -12,19 +10,19 @@
 // choose returns the index of the server that serves the request best now and what the choice rests on;
 // the index is -1 when the request must wait.
 func (s State) choose(w value.Work, now hoist.Millis) (int, Basis) {
-	best, basis := -1, Basis{Cost: math.Inf(1)}
+	best, basis, lowest := -1, Basis{}, math.Inf(1)
 	for shunned := range 2 {
 		for i := range s.servers.Len() {
 			x := s.servers.At(i)
 			if x.entry.Leaving() || avoided(w, x.entry.Id()) || (x.shunned > now) != (shunned == 1) {
 				continue
 			}
-			if !s.rules.admits(x, w, now) {
+			if !s.rules.admits(x, w) {
 				continue
 			}
-			n := s.uncached(w, x)
-			if c := s.cost(x, w, n, now); c < basis.Cost {
-				best, basis = i, Basis{Fresh: n, Unread: x.unread(), Running: x.runs.Len(), Cost: c}
+			fresh, again := s.uncached(w, x, now)
+			if c := cost(x, w, fresh, again, now); c < lowest {
+				best, basis, lowest = i, Basis{Fresh: fresh, Unread: x.unread(), Running: x.runs.Len()}, c
 			}
 		}
 		if best >= 0 {
@@ -44,59 +42,37 @@
 	return false
 }
 
-// uncached returns the prompt tokens that the server must compute: all but the shared parts that are at home there.
-func (s State) uncached(w value.Work, x server) int32 {
-	var total, shared int32
-	for p := range w.Parts().All() {
-		total += p.Tokens()
-	}
+// uncached returns the prompt tokens that the server must compute, and how many of them another server has computed a moment ago.
+func (s State) uncached(w value.Work, x server, now hoist.Millis) (fresh, again int32) {
+	cached := true
 	last := w.Parts().Len() - 1
-	if last < 1 {
-		return total
-	}
-	for i := range last {
-		shared += w.Parts().At(i).Tokens()
-	}
-	if s.home(w.Parts().At(last-1).Id()) == x.entry.Id() {
-		return total - shared
-	}
-	return total
-}
-
-// home returns the server that every instance prefers for a prompt part, by rendezvous hashing.
-func (s State) home(part uint64) string {
-	var best string
-	var highest uint64
-	for x := range s.servers.All() {
-		if x.entry.Leaving() {
+	for i := range w.Parts().Len() {
+		p := w.Parts().At(i)
+		if i == last {
+			return fresh + p.Tokens(), again
+		}
+		used := s.parts.used(p.Id(), x.entry.Id())
+		if cached = cached && used > 0 && now-used < partLife; cached {
 			continue
 		}
-		if h := weigh(part, x.entry.Id()); best == "" || h > highest {
-			best, highest = x.entry.Id(), h
+		fresh += p.Tokens()
+		if t := s.parts.last(p.Id()); t > 0 && now-t < reuseWindow {
+			again += p.Tokens()
 		}
 	}
-	return best
-}
-
-// weigh returns the weight of a server for a part.
-func weigh(part uint64, id string) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(part)
-	_, _ = d.WriteString(id) // Never fails.
-	return d.Sum64()
+	return fresh, again
 }
 
 // cost returns what it costs to run the request at the server, in milliseconds.
-func (s State) cost(x server, w value.Work, fresh int32, now hoist.Millis) float64 {
+func cost(x server, w value.Work, fresh, again int32, now hoist.Millis) float64 {
 	c := float64(x.runs.Len())
-	slots := float64(max(x.entry.Slots(), 1))
 	slow := x.slowness(now)
 	if w.Parts().Len() == 0 {
-		c = plainCost * (c + 1) / slots * slow
+		c = plainCost * (c + 1) / float64(max(x.entry.Slots(), 1)) * slow
 	} else {
-		c = slow*(float64(x.unread())/readRate+c*runCost) + freshWeight*float64(fresh)/readRate
+		c = slow*((float64(x.unread())+float64(fresh))/readRate+c*runCost) + againWeight*float64(again)/readRate
 	}
-	if x.entry.Datacentre() != s.datacentre {
+	if x.entry.Datacentre() != w.Datacentre() {
 		c += remoteCost
 	}
 	return c + float64(x.entry.ColdMs()>>coldShift)
--- a/assign/event.go
+++ b/assign/event.go
@@ -36,6 +36,18 @@
 	Servers value.List[value.BackendServer]
 }
 
+// Placed is a request that runs at a server without having been granted by this state.
+type Placed struct{ Run value.PlaceRun }
+
+// Held lists all requests of another instance at the servers.
+type Held struct {
+	Origin string
+	Runs   value.List[value.PlaceRun]
+}
+
+// Vanished is an instance that is gone, with its requests.
+type Vanished struct{ Origin string }
+
 // Ticked is the passing of time.
 type Ticked struct{}
 
@@ -44,6 +56,9 @@
 func (Began) isEvent()     {}
 func (Ended) isEvent()     {}
 func (Listed) isEvent()    {}
+func (Placed) isEvent()    {}
+func (Held) isEvent()      {}
+func (Vanished) isEvent()  {}
 func (Ticked) isEvent()    {}
 
 // Result says how a request ended at its server.
@@ -71,7 +86,9 @@
 
 // Grant sends a request to a server.
 type Grant struct {
-	ID     uint64
+	ID uint64
+	// Origin is the instance that has asked.
+	Origin string
 	Server value.BackendServer
 	// Basis is what the choice rested on.
 	Basis Basis
@@ -85,18 +102,24 @@
 	Unread int64
 	// Running is the number of earlier requests there, as far as known.
 	Running int
-	// Cost is the estimated cost, in milliseconds.
-	Cost float64
 }
 
 // Refuse ends a request that has not run.
 type Refuse struct {
-	ID uint64
+	ID     uint64
+	Origin string
 	// After is the time after which a new attempt may succeed.
 	After  hoist.Millis
 	Reason Reason
 }
 
+// Queued says that a request waits.
+type Queued struct {
+	ID     uint64
+	Origin string
+}
+
+func (Queued) isEffect() {}
 func (Grant) isEffect()  {}
 func (Refuse) isEffect() {}
 
--- /dev/null
+++ b/assign/parts.go
@@ -0,0 +1,88 @@
+package assign
+
+import (
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/value"
+)
+
+const (
+	// partRows and partColumns divide the table of parts, so that a change copies a small piece of it.
+	partRows    = 32
+	partColumns = 32
+	// partCopies bounds the servers that are remembered for one part.
+	partCopies = 64
+	// partLife is the time after which a server has probably evicted a part that nobody used.
+	partLife = 20 * hoist.Second
+)
+
+// holding says that a server has computed a prompt part.
+type holding struct {
+	part   uint64
+	server string
+	used   hoist.Millis
+}
+
+// parts is the immutable table of the prompt parts that servers hold; the zero value is empty.
+type parts struct {
+	rows value.List[value.List[value.List[holding]]]
+}
+
+// newParts returns an empty table.
+func newParts() parts {
+	row := value.ListOf(make([]value.List[holding], partColumns)...)
+	rows := make([]value.List[value.List[holding]], partRows)
+	for i := range rows {
+		rows[i] = row
+	}
+	return parts{value.ListOf(rows...)}
+}
+
+// cell returns the place of a part.
+func cell(part uint64) (int, int) {
+	h := part * 0x9e3779b97f4a7c15 // Spreads parts whose ids are close to each other.
+	return int(h >> 32 % partRows), int(h >> 48 % partColumns)
+}
+
+// at returns the holdings that share the part's cell.
+func (p parts) at(part uint64) value.List[holding] {
+	row, column := cell(part)
+	return p.rows.At(row).At(column)
+}
+
+// used returns the time at which the server last used the part, or zero.
+func (p parts) used(part uint64, server string) hoist.Millis {
+	for h := range p.at(part).All() {
+		if h.part == part && h.server == server {
+			return h.used
+		}
+	}
+	return 0
+}
+
+// last returns the time at which any server last used the part, or zero.
+func (p parts) last(part uint64) hoist.Millis {
+	var last hoist.Millis
+	for h := range p.at(part).All() {
+		if h.part == part {
+			last = max(last, h.used)
+		}
+	}
+	return last
+}
+
+// with returns a copy in which the server has used the part now; old holdings of the cell go.
+func (p parts) with(part uint64, server string, now hoist.Millis) parts {
+	row, column := cell(part)
+	list := []holding{{part, server, now}}
+	copies := 1
+	for h := range p.rows.At(row).At(column).All() {
+		if h.part == part {
+			copies++
+		}
+		if (h.part != part || h.server != server && copies <= partCopies) && now-h.used < partLife {
+			list = append(list, h)
+		}
+	}
+	p.rows = p.rows.With(row, p.rows.At(row).With(column, value.ListOf(list...)))
+	return p
+}
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -6,12 +6,14 @@
 )
 
 const (
-	// readRate is the speed at which an engine computes prompt tokens, in tokens per millisecond, as the deployments state it.
-	readRate = 112
-	// freshWeight is the weight of the prompt tokens that a request makes a server compute against those that it waits behind; they delay every other request there too.
-	freshWeight = 8
-	// runCost is the delay that one running request adds to each step of the others, in milliseconds.
-	runCost = 0.5
+	// readRate is the speed at which a busy engine computes prompt tokens between the tokens of other requests, in tokens per millisecond.
+	readRate = 45
+	// againWeight is the weight of prompt tokens that another server has computed a moment ago, against the time that they take.
+	againWeight = 12
+	// reuseWindow is the time within which computing a part again counts as waste; deployments state 4.8 to 7.1 s.
+	reuseWindow = 8 * hoist.Second
+	// runCost is the delay that one running request adds to the first token of the next, in milliseconds.
+	runCost = 2
 	// plainCost scales the load of a plain service to milliseconds.
 	plainCost = 60
 	// remoteCost is the round trip to another data centre plus the price of its link, in milliseconds.
@@ -26,17 +28,24 @@
 	deadShun = 500 * hoist.Millis(1)
 	// shunMost bounds the time for which a server is shunned, so that a restarted one gets work soon.
 	shunMost = 2 * hoist.Second
+	// failLimit is the number of errors in a row from which a server is shunned; single errors are common and concern one request.
+	failLimit = 3
 	// maxShunDoublings bounds the doubling of the time.
 	maxShunDoublings = 4
 	// waitPoll is the longest time between two looks at waiting requests.
 	waitPoll = 20 * hoist.Millis(1)
-	// heldTenths is the part of the latency target for which a request may wait here, in tenths.
-	heldTenths = 8
+	// grantTravel is the time that a grant takes to its gateway, and the gateway's list of its requests back.
+	grantTravel = 300 * hoist.Millis(1)
+	// runTime is the time that a request needs at its server at least; a request with less time left is refused.
+	runTime = 150 * hoist.Millis(1)
+	// comebackPart divides the time that is left for a refused caller, so that a second attempt still has time to run.
+	comebackPart = 8
 )
 
 // Rules are the limits of admission to a server.
 type Rules struct {
-	// Unread bounds the prompt tokens in flight to one server from this process by rank; higher ranks than listed have the last bound.
+	// Unread bounds the prompt tokens that a server has still to compute, by rank, for a request to be sent there;
+	// higher ranks than listed have the last bound.
 	Unread value.List[int64]
 }
 
@@ -45,33 +54,22 @@
 	return Rules{Unread: value.ListOf[int64](1<<40, 1<<40, 1<<40)}
 }
 
-// unread returns the bound on prompt tokens in flight for a rank.
+// unread returns the bound on prompt tokens for a rank.
 func (r Rules) unread(rank int32) int64 {
 	return r.Unread.At(min(int(max(rank, 0)), r.Unread.Len()-1))
 }
 
-// held reports whether the time is over for which the request may be kept back.
-func (r Rules) held(w value.Work, now hoist.Millis) bool {
-	return now-hoist.Millis(w.ArrivedMs()) >= hoist.Millis(w.TargetMs()*heldTenths/10)
-}
-
 // admits reports whether the server may take the request now.
-func (r Rules) admits(x server, w value.Work, now hoist.Millis) bool {
-	if w.Parts().Len() == 0 || r.held(w, now) {
-		return true
-	}
-	return x.unread() < r.unread(w.Rank())
+func (r Rules) admits(x server, w value.Work) bool {
+	return w.Parts().Len() == 0 || x.unread() < r.unread(w.Rank())
 }
 
 // patience returns the time at which a request that found no server is refused.
 func (r Rules) patience(w value.Work) hoist.Millis {
-	return max(hoist.Millis(w.EndMs())-400, hoist.Millis(w.ArrivedMs()))
+	return max(hoist.Millis(w.EndMs())-runTime, hoist.Millis(w.ArrivedMs()))
 }
 
 // comeback returns the time after which a refused caller should try again.
 func (r Rules) comeback(w value.Work, now hoist.Millis) hoist.Millis {
 	return max(hoist.Millis(w.EndMs())-now, 0) / comebackPart
 }
-
-// comebackPart divides the time that is left for a refused caller, so that a second attempt still has time to run.
-const comebackPart = 8
--- a/assign/server.go
+++ b/assign/server.go
@@ -11,6 +11,8 @@
 	// fresh is the number of prompt tokens that the server is expected to compute.
 	fresh int32
 	began bool
+	// placed is the time of the grant.
+	placed hoist.Millis
 }
 
 // server is the immutable view of one backend server.
@@ -31,25 +33,30 @@
 	return s
 }
 
-// withoutRun returns a copy without the request.
-func (s server) withoutRun(id uint64) server {
+// find returns the index of the request, or -1.
+func (s server) find(id uint64) int {
 	for i := range s.runs.Len() {
 		if s.runs.At(i).work.Id() == id {
-			s.runs = s.runs.Without(i)
-			return s
+			return i
 		}
 	}
+	return -1
+}
+
+// withoutRun returns a copy without the request.
+func (s server) withoutRun(id uint64) server {
+	if i := s.find(id); i >= 0 {
+		s.runs = s.runs.Without(i)
+	}
 	return s
 }
 
 // withBegan returns a copy whose request has begun to answer.
 func (s server) withBegan(id uint64) server {
-	for i := range s.runs.Len() {
-		if r := s.runs.At(i); r.work.Id() == id {
-			r.began = true
-			s.runs = s.runs.With(i, r)
-			return s
-		}
+	if i := s.find(id); i >= 0 {
+		r := s.runs.At(i)
+		r.began = true
+		s.runs = s.runs.With(i, r)
 	}
 	return s
 }
@@ -60,10 +67,12 @@
 	return s
 }
 
-// withFailure returns a copy that is shunned for longer with each failure in a row.
-func (s server) withFailure(now, least hoist.Millis) server {
+// withFailure returns a copy that is shunned for longer with each failure in a row, once there are as many as the limit.
+func (s server) withFailure(now, least hoist.Millis, limit int) server {
 	s.failures++
-	s.shunned = now + min(least<<min(s.failures-1, maxShunDoublings), shunMost)
+	if n := s.failures - limit; n >= 0 {
+		s.shunned = now + min(least<<min(n, maxShunDoublings), shunMost)
+	}
 	return s
 }
 
@@ -73,17 +82,37 @@
 	return s
 }
 
-// holds reports whether the request runs at the server.
-func (s server) holds(id uint64) bool {
+// after returns a copy that has learnt from the result of a request.
+func (s server) after(r Result, now hoist.Millis) server {
+	switch r {
+	case Done:
+		return s.withSuccess()
+	case Full:
+		return s.withFailure(now, fullShun, 1)
+	case Failing:
+		return s.withFailure(now, failShun, failLimit)
+	case Moved, Unreachable:
+		return s.withFailure(now, deadShun, 1)
+	default:
+		return s
+	}
+}
+
+// withHeld returns a copy whose requests of the origin are those that it holds; a request that was granted a moment ago stays, since the origin may not know of it yet.
+func (s server) withHeld(origin string, held map[uint64]bool, now hoist.Millis) server {
+	var runs []run
 	for r := range s.runs.All() {
-		if r.work.Id() == id {
-			return true
+		if r.work.Origin() != origin || held[r.work.Id()] || now-r.placed < grantTravel {
+			runs = append(runs, r)
 		}
 	}
-	return false
+	if len(runs) < s.runs.Len() {
+		s.runs = value.ListOf(runs...)
+	}
+	return s
 }
 
-// unread returns the prompt tokens that are still to be computed for requests of this process.
+// unread returns the prompt tokens that are still to be computed at the server.
 func (s server) unread() int64 {
 	var n int64
 	for r := range s.runs.All() {
--- a/assign/state.go
+++ b/assign/state.go
@@ -8,17 +8,17 @@
 	"chicoryhoist.example/hoist/value"
 )
 
-// State is the immutable state of one service in one process.
+// State is the immutable state of one shard: its servers, what runs there, and the requests that wait.
 type State struct {
-	datacentre string
-	rules      Rules
-	servers    value.List[server]
+	rules   Rules
+	servers value.List[server]
 	// waiting holds the requests without a server, the highest rank first and the oldest first inside a rank.
 	waiting value.List[value.Work]
+	parts   parts
 }
 
-// New returns the state of a service without servers; datacentre is that of the process.
-func New(datacentre string, r Rules) State { return State{datacentre: datacentre, rules: r} }
+// New returns the state of a shard without servers.
+func New(r Rules) State { return State{rules: r, parts: newParts()} }
 
 // Waiting returns the number of requests that wait.
 func (s State) Waiting() int { return s.waiting.Len() }
@@ -32,11 +32,58 @@
 	return n
 }
 
+// Listed reports whether the shard has servers.
+func (s State) Listed() bool { return s.servers.Len() > 0 }
+
+// Runs reports whether the request runs at a server.
+func (s State) Runs(id uint64) bool {
+	for x := range s.servers.All() {
+		if x.find(id) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Server returns the listed server with the id.
+func (s State) Server(id string) (value.BackendServer, bool) {
+	for x := range s.servers.All() {
+		if x.entry.Id() == id {
+			return x.entry, true
+		}
+	}
+	return value.BackendServer{}, false
+}
+
+// Holding returns the requests of the origin at servers; their times are relative to now.
+func (s State) Holding(origin string, now hoist.Millis) value.List[value.PlaceRun] {
+	var runs []value.PlaceRun
+	for x := range s.servers.All() {
+		for r := range x.runs.All() {
+			if r.work.Origin() == origin {
+				runs = append(runs, value.PlaceRun{}.WithWork(Relative(r.work, now)).WithServer(x.entry.Id()).WithFresh(r.fresh).WithBegan(r.began))
+			}
+		}
+	}
+	return value.ListOf(runs...)
+}
+
+// Relative returns the request with times relative to now, as they travel between instances.
+func Relative(w value.Work, now hoist.Millis) value.Work {
+	return w.WithArrivedMs(w.ArrivedMs() - int64(now)).WithEndMs(w.EndMs() - int64(now))
+}
+
+// Absolute returns a request whose times were relative to now.
+func Absolute(w value.Work, now hoist.Millis) value.Work {
+	return w.WithArrivedMs(w.ArrivedMs() + int64(now)).WithEndMs(w.EndMs() + int64(now))
+}
+
 // Decide returns the state after the event and what is to be done.
 func (s State) Decide(e Event, now hoist.Millis) (State, []Effect) {
+	var effects []Effect
 	switch e := e.(type) {
 	case Asked:
-		s = s.withWaiting(e.Work)
+		s, effects = s.asked(e.Work)
 	case Withdrawn:
 		s = s.withoutWaiting(e.ID)
 	case Began:
@@ -51,9 +98,30 @@
 		s = s.changed(e.ID, func(x server) server { return x.withoutRun(e.ID).after(e.Result, now) })
 	case Listed:
 		s = s.listed(e.Servers)
+	case Placed:
+		s = s.placed(e.Run, now)
+	case Held:
+		s = s.held(e, now)
+	case Vanished:
+		s = s.without(e.Origin)
 	case Ticked:
 	}
-	return s.settle(now)
+	s, more := s.settle(now)
+	effects = append(effects, more...)
+	if e, ok := e.(Asked); ok && s.waits(e.Work.Id()) {
+		effects = append(effects, Queued{e.Work.Id(), e.Work.Origin()})
+	}
+	return s, effects
+}
+
+// waits reports whether the request is in the queue.
+func (s State) waits(id uint64) bool {
+	for w := range s.waiting.All() {
+		if w.Id() == id {
+			return true
+		}
+	}
+	return false
 }
 
 // Wake returns the time at which the state wants to be asked again; false when no request waits.
@@ -61,18 +129,20 @@
 	if s.waiting.Len() == 0 {
 		return 0, false
 	}
-	wake := now + waitPoll
-	for w := range s.waiting.All() {
-		wake = min(wake, max(s.rules.patience(w), now+1))
-	}
-	return wake, true
+	return now + waitPoll, true
 }
 
-// withWaiting returns a copy with the request in its place of the queue.
-func (s State) withWaiting(w value.Work) State {
+// asked puts a request into the queue; one that is known already is answered again.
+func (s State) asked(w value.Work) (State, []Effect) {
+	for x := range s.servers.All() {
+		if i := x.find(w.Id()); i >= 0 {
+			return s, []Effect{Grant{w.Id(), w.Origin(), x.entry, Basis{Fresh: x.runs.At(i).fresh}}}
+		}
+	}
+	s = s.withoutWaiting(w.Id())
 	at, _ := slices.BinarySearchFunc(slices.Collect(s.waiting.All()), w, before)
 	s.waiting = s.waiting.Insert(at, w)
-	return s
+	return s, nil
 }
 
 // before orders requests by rank, then by arrival.
@@ -94,7 +164,7 @@
 // changed returns a copy in which the server that runs the request is replaced.
 func (s State) changed(id uint64, change func(server) server) State {
 	for i := range s.servers.Len() {
-		if x := s.servers.At(i); x.holds(id) {
+		if x := s.servers.At(i); x.find(id) >= 0 {
 			s.servers = s.servers.With(i, change(x))
 			return s
 		}
@@ -102,22 +172,6 @@
 	return s
 }
 
-// after returns a copy that has learnt from the result of a request.
-func (s server) after(r Result, now hoist.Millis) server {
-	switch r {
-	case Done:
-		return s.withSuccess()
-	case Full:
-		return s.withFailure(now, fullShun)
-	case Failing:
-		return s.withFailure(now, failShun)
-	case Moved, Unreachable:
-		return s.withFailure(now, deadShun)
-	default:
-		return s
-	}
-}
-
 // listed returns a copy with the servers of the list; what is known of a server stays while it is the same start.
 func (s State) listed(l value.List[value.BackendServer]) State {
 	known := map[string]server{}
@@ -137,6 +191,58 @@
 	return s
 }
 
+// placed returns a copy in which the request runs at its server.
+func (s State) placed(p value.PlaceRun, now hoist.Millis) State {
+	s = s.withoutWaiting(p.Work().Id())
+	for i := range s.servers.Len() {
+		x := s.servers.At(i)
+		if x.entry.Id() == p.Server() && x.find(p.Work().Id()) < 0 {
+			return s.withPlaced(i, run{work: p.Work(), fresh: p.Fresh(), began: p.Began(), placed: now}, now)
+		}
+	}
+	return s
+}
+
+// withPlaced returns a copy in which the server at the index runs one more request and holds its parts.
+func (s State) withPlaced(at int, r run, now hoist.Millis) State {
+	x := s.servers.At(at)
+	s.servers = s.servers.With(at, x.withRun(r))
+	for i := range r.work.Parts().Len() - 1 {
+		s.parts = s.parts.with(r.work.Parts().At(i).Id(), x.entry.Id(), now)
+	}
+	return s
+}
+
+// held returns a copy whose requests of an instance are those that it lists.
+func (s State) held(e Held, now hoist.Millis) State {
+	ids := map[uint64]bool{}
+	for r := range e.Runs.All() {
+		ids[r.Work().Id()] = true
+	}
+	for i := range s.servers.Len() {
+		s.servers = s.servers.With(i, s.servers.At(i).withHeld(e.Origin, ids, now))
+	}
+	for r := range e.Runs.All() {
+		s = s.placed(r.WithWork(Absolute(r.Work(), now)), now)
+	}
+	return s
+}
+
+// without returns a copy without the requests of an instance.
+func (s State) without(origin string) State {
+	for i := range s.servers.Len() {
+		s.servers = s.servers.With(i, s.servers.At(i).withHeld(origin, nil, hoist.Millis(1)<<62))
+	}
+	var waiting []value.Work
+	for w := range s.waiting.All() {
+		if w.Origin() != origin {
+			waiting = append(waiting, w)
+		}
+	}
+	s.waiting = value.ListOf(waiting...)
+	return s
+}
+
 // settle places waiting requests and refuses those whose time is over.
 func (s State) settle(now hoist.Millis) (State, []Effect) {
 	var effects []Effect
@@ -145,11 +251,10 @@
 		at, basis := s.choose(w, now)
 		switch {
 		case at >= 0:
-			x := s.servers.At(at).withRun(run{work: w, fresh: basis.Fresh})
-			s.servers = s.servers.With(at, x)
-			effects = append(effects, Grant{w.Id(), x.entry, basis})
-		case now >= s.rules.patience(w):
-			effects = append(effects, Refuse{w.Id(), s.rules.comeback(w, now), s.reason()})
+			effects = append(effects, Grant{w.Id(), w.Origin(), s.servers.At(at).entry, basis})
+			s = s.withPlaced(at, run{work: w, fresh: basis.Fresh, placed: now}, now)
+		case now >= s.rules.patience(w) || !s.usable(w):
+			effects = append(effects, Refuse{w.Id(), w.Origin(), s.rules.comeback(w, now), s.reason(w)})
 		default:
 			i++
 			continue
@@ -159,12 +264,20 @@
 	return s, effects
 }
 
-// reason returns why a request finds no server.
-func (s State) reason() Reason {
+// usable reports whether a server may ever take the request.
+func (s State) usable(w value.Work) bool {
 	for x := range s.servers.All() {
-		if !x.entry.Leaving() {
-			return Overload
+		if !x.entry.Leaving() && !avoided(w, x.entry.Id()) {
+			return true
 		}
 	}
+	return false
+}
+
+// reason returns why a request finds no server.
+func (s State) reason(w value.Work) Reason {
+	if s.usable(w) {
+		return Overload
+	}
 	return NoServer
 }
--- a/carry/carry.go
+++ b/carry/carry.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -19,6 +20,8 @@
 	"chicoryhoist.example/hoist/edge"
 	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/feed"
+	"chicoryhoist.example/hoist/member"
+	"chicoryhoist.example/hoist/mesh"
 	"chicoryhoist.example/hoist/relay"
 	"chicoryhoist.example/hoist/uplink"
 	"chicoryhoist.example/hoist/value"
@@ -54,6 +57,7 @@
 	log      *event.Log
 	client   *uplink.Client
 	follower *feed.Follower
+	mesh     *mesh.Mesh
 	relay    *relay.Relay
 	edge     *edge.Server
 	metrics  *relay.Metrics
@@ -96,13 +100,25 @@
 		client:   uplink.NewClient(clock, uplink.Limits{Connect: connectTime, Idle: idleTime}),
 		follower: do.MustInvoke[*feed.Follower](i),
 	}
+	m, err := mesh.New(mesh.Options{
+		Clock: clock, Log: p.log, Settings: o.Settings,
+		Receive: func(sender string, _ netip.AddrPort, b mesh.Body) { p.relay.Receive(sender, b) },
+		Deliver: func([]value.Item) {},
+		Changed: func(old, v *member.View) { p.relay.Changed(old, v) },
+	})
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	p.mesh = m
 	p.relay = relay.New(ctx, relay.Options{
-		Clock: clock, Client: p.client, Dialect: o.Dialect, Follower: p.follower, Settings: o.Settings, Log: p.log, Metrics: p.metrics,
+		Clock: clock, Client: p.client, Dialect: o.Dialect, Follower: p.follower, Settings: o.Settings, Log: p.log, Metrics: p.metrics, Mesh: m,
 	})
 	p.follower.OnView = p.relay.Follow
 	p.edge = edge.New(p.relay)
 	p.exportMetrics()
 	go p.follower.Run(ctx)
+	go m.Run(ctx)
 	return p, nil
 }
 
@@ -115,6 +131,9 @@
 		return p.follower.View().Age(p.clock.Now()).Duration().Seconds()
 	})
 	p.metrics.Value("server_connections", "Connections opened to backend servers.", func() float64 { return float64(p.client.Opened.Load()) })
+	p.metrics.Value("mesh_datagrams", "Datagrams sent to other instances.", func() float64 { return float64(p.mesh.Sent.Load()) })
+	p.metrics.Value("mesh_bytes", "Bytes sent to other instances.", func() float64 { return float64(p.mesh.SentBytes.Load()) })
+	p.metrics.Value("mesh_members", "Live instances in the view of this one, itself included.", func() float64 { return float64(len(p.mesh.View().Members())) })
 	p.metrics.Value("foreign_answers", "Answers of other requests that were dropped.", func() float64 { return float64(p.client.Foreign.Load()) })
 }
 
@@ -188,6 +207,7 @@
 func (p *Process) drain(callers *http.Server) {
 	began := p.clock.Now()
 	p.edge.Drain()
+	p.mesh.Post(member.Drained{})
 	p.log.Write(event.Drain, logrus.Fields{"requests": p.relay.Active()})
 	limit := began + hoist.Millis(p.settings.Bounds().GraceMs()) - exitMargin
 	for now := began; now < limit; now = <-p.clock.After(drainPoll) {
--- a/cmd/hoistgen/reference.go
+++ b/cmd/hoistgen/reference.go
@@ -19,7 +19,7 @@
 	g.P("Generated from `wire/schema` by `make generate`. Keys are written in TOML.\n")
 	for _, f := range p.Files {
 		base := strings.TrimSuffix(f.Desc.Path(), ".proto")
-		if !f.Generate || base == "peer" || base == "route" {
+		if !f.Generate || base == "peer" || base == "route" || base == "mesh" {
 			continue
 		}
 		g.P("## ", base, "\n")
--- a/config/forward.go
+++ b/config/forward.go
@@ -28,12 +28,15 @@
 	root := subject{r, spot{}, "instance", s.Name()}
 	root.require("name", s.Name())
 	root.require("datacentre", s.Datacentre())
+	root.require("region", s.Region())
 	listen := section{root, "listen"}
 	listen.address("callers", s.Listen().Callers())
 	listen.address("ready", s.Listen().Ready())
 	listen.address("metrics", s.Listen().Metrics())
 	store := section{root, "store"}
 	store.address("address", s.Store().Address())
+	peers := section{root, "peers"}
+	peers.address("address", s.Peers().Address())
 	bounds := section{root, "bounds"}
 	bounds.positive("grace_ms", s.Bounds().GraceMs())
 	bounds.positive("revoke_ms", s.Bounds().RevokeMs())
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -83,6 +83,15 @@
 	LogDropped      = Code{609, logrus.WarnLevel, "log lines were dropped because the output was slow", "Check the reader of standard output."}
 )
 
+// Events of the messages between forwarding routers.
+var (
+	MeshRead = Code{650, logrus.WarnLevel, "datagram socket of the instances cannot be read", "Check the network of the instance when it lasts."}
+	MeshSend = Code{651, logrus.WarnLevel, "datagram to another instance cannot be sent", "Check the network of the instance when it lasts."}
+	MeshFull = Code{652, logrus.WarnLevel, "message to the membership was dropped because its inbox is full", "Look for an overloaded instance when it repeats."}
+	OwnerOut = Code{653, logrus.WarnLevel, "owner of a shard does not answer; this instance places its own requests", "Check the owner and the network when it lasts."}
+	OwnerNew = Code{654, logrus.InfoLevel, "shard has another owner", "None."}
+)
+
 // Events of forwarded requests.
 var (
 	Forwarded = Code{700, logrus.InfoLevel, "request has ended", "Read docs/OPERATIONS.md for the way from a request to its cause."}
@@ -102,6 +111,7 @@
 		Straggler, Recovered, Crashed, Quarantine, Ordered, Fenced, Unordered,
 		Foreign, Denied,
 		StoreLost, StoreBack, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsRead, SettingsBad, LogDropped,
+		MeshRead, MeshSend, MeshFull, OwnerOut, OwnerNew,
 		Forwarded, Attempted, Isolated,
 		Violated,
 	}
--- /dev/null
+++ b/mesh/member.go
@@ -0,0 +1,122 @@
+package mesh
+
+import (
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/event"
+	"chicoryhoist.example/hoist/gossip"
+	"chicoryhoist.example/hoist/member"
+	"chicoryhoist.example/hoist/value"
+)
+
+// decide takes an input over and performs the effects.
+func (m *Mesh) decide(in input) {
+	if h, ok := in.event.(member.Heard); ok {
+		if !h.Request {
+			delete(m.exchanges, in.number)
+		}
+		m.renew(h.Gossip)
+	}
+	state, effects := m.state.Decide(in.event, m.Clock.Now())
+	m.state = state
+	for _, x := range effects {
+		switch x := x.(type) {
+		case member.Exchange:
+			m.exchange(x)
+		case member.Reply:
+			m.send(in.from, in.number, value.MeetAnswer{}.WithGossip(x.Gossip))
+		case member.Publish:
+			old := m.view.Swap(x.View)
+			m.Changed(old, x.View)
+		case member.Deliver:
+			m.Deliver(x.Items)
+		case member.Log:
+			m.Log.Write(notices[x.Notice], logrus.Fields{"name": x.Name, "incarnation": x.Incarnation})
+		}
+	}
+}
+
+// notices maps the changes of membership to numbered events.
+var notices = map[member.Notice]event.Code{
+	member.NoticeJoined:    event.Joined,
+	member.NoticeFailed:    event.Failed,
+	member.NoticeLeaving:   event.Leaving,
+	member.NoticeRestarted: event.Joined,
+	member.NoticePaused:    event.Paused,
+	member.NoticeRefreshed: event.Refreshed,
+	member.NoticeDeparted:  event.Leaving,
+	member.NoticeConflict:  event.Conflict,
+	member.NoticeReplaced:  event.Replaced,
+}
+
+// renew begins again under a higher incarnation when a peer remembers an earlier process of this instance with a
+// higher one, which happens when the time of day has been set back.
+func (m *Mesh) renew(g value.Gossip) {
+	own := m.state.Self()
+	highest := own.Incarnation()
+	for i := range g.Items().All() {
+		if i.Origin() == own.Name() {
+			highest = max(highest, i.Incarnation())
+		}
+	}
+	if highest > own.Incarnation() {
+		m.begin(highest + 1)
+		clear(m.exchanges)
+	}
+}
+
+// exchange sends a batch to a peer.
+func (m *Mesh) exchange(x member.Exchange) {
+	to, err := netip.ParseAddrPort(x.Peer.Address())
+	if err != nil {
+		m.Log.Write(event.MeshSend, logrus.Fields{"to": x.Peer.Address(), "error": err.Error()})
+		return
+	}
+	m.number++
+	m.exchanges[m.number] = exchange{x.Peer.Name(), m.Clock.Now()}
+	m.send(to, m.number, value.MeetRequest{}.WithGossip(x.Gossip))
+}
+
+// expire fails the exchanges that were not answered in time.
+func (m *Mesh) expire(now hoist.Millis) {
+	for n, x := range m.exchanges {
+		if now-x.sent >= answerTime {
+			delete(m.exchanges, n)
+			m.decide(input{event: member.Failed{Peer: x.peer}})
+		}
+	}
+}
+
+// join introduces this instance to the seeds that are not known as members.
+func (m *Mesh) join(now hoist.Millis) {
+	if m.joined > 0 && now-m.joined < joinInterval {
+		return
+	}
+	m.joined = now
+	known := map[netip.Addr]bool{}
+	for _, x := range m.state.View().Members() {
+		if a, err := netip.ParseAddrPort(x.Address()); err == nil {
+			known[a.Addr()] = true
+		}
+	}
+	own, err := netip.ParseAddrPort(m.Settings.Peers().Address())
+	if err != nil {
+		return // New has checked the address.
+	}
+	self := m.state.Self()
+	item, ok := m.state.Store().Get(self.Name(), gossip.Key{Kind: gossip.KindMember})
+	if !ok {
+		return // A state always holds its own member item.
+	}
+	g := value.Gossip{}.WithSender(self.Name()).WithItems(value.ListOf(item)).WithPulse(value.Pulse{}.WithIncarnation(self.Incarnation()))
+	for s := range m.Settings.Peers().Seeds().All() {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil || known[a.Addr()] {
+			continue
+		}
+		m.send(netip.AddrPortFrom(a.Addr(), own.Port()), 0, value.MeetRequest{}.WithGossip(g))
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -108,7 +108,7 @@
 	case Lost, Failed, Cut:
 		result = assign.Failing
 	}
-	j.desk.post(assign.Ended{ID: id, Result: result})
+	j.desk.finished(id, result)
 	if result == assign.Done || result == assign.Left {
 		return
 	}
@@ -163,9 +163,9 @@
 	load, loaded := parseLoad(a.Header.Get(d.Load()))
 	j.load = load
 	if a.Status/100 == 2 && j.route.Kind() == value.RouteKindStream {
-		return j.stream(ctx, a, func() { j.desk.post(assign.Began{ID: id, Load: load, Loaded: loaded}) })
+		return j.stream(ctx, a, func() { j.desk.began(id, load, loaded) })
 	}
-	j.desk.post(assign.Began{ID: id, Load: load, Loaded: loaded})
+	j.desk.began(id, load, loaded)
 	return j.whole(ctx, a)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
@@ -13,7 +15,7 @@
 	"chicoryhoist.example/hoist/assign"
 	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/feed"
-	"chicoryhoist.example/hoist/retry"
+	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/route"
 	"chicoryhoist.example/hoist/uplink"
 	"chicoryhoist.example/hoist/value"
@@ -41,57 +43,36 @@
 	Settings value.ForwardSettings
 	Log      *event.Log
 	Metrics  *Metrics
+	Mesh     Mesh
 }
 
 // Relay forwards requests.
 type Relay struct {
 	Options
-	ctx    context.Context
-	desks  atomic.Pointer[map[string]*desk]
-	serial atomic.Uint64
-	active atomic.Int64
+	ctx      context.Context
+	services atomic.Pointer[map[string]*service]
+	members  atomic.Pointer[member.View]
+	// replies holds the channels of the requests that wait for a server, by their id.
+	replies sync.Map
+	serial  atomic.Uint64
+	active  atomic.Int64
 }
 
 // New returns a relay whose goroutines run until ctx ends.
 func New(ctx context.Context, o Options) *Relay {
 	r := &Relay{Options: o, ctx: ctx}
-	r.desks.Store(&map[string]*desk{})
+	r.services.Store(&map[string]*service{})
+	// Ids of different instances and of different starts must not meet at the owner of a shard.
+	r.serial.Store(rand.Uint64() << serialBits)
 	return r
 }
 
+// serialBits is the number of bits that count the requests of one start.
+const serialBits = 24
+
 // Active returns the number of requests in progress.
 func (r *Relay) Active() int64 { return r.active.Load() }
 
-// Follow takes over a new view of the store; it is called from one goroutine.
-func (r *Relay) Follow(_, v *feed.View) {
-	servers := map[string][]value.BackendServer{}
-	addresses := map[string]bool{}
-	for s := range v.Servers.All() {
-		servers[s.Service()] = append(servers[s.Service()], s)
-		addresses[s.Address()] = true
-	}
-	var services []string
-	if v.Table != nil {
-		services = v.Table.Services()
-	}
-	old := *r.desks.Load()
-	next := make(map[string]*desk, len(services))
-	for k, d := range old {
-		next[k] = d
-	}
-	for _, s := range services {
-		if _, ok := next[s]; !ok {
-			state := assign.New(r.Settings.Datacentre(), assign.DefaultRules())
-			next[s] = newDesk(r.ctx, r.Clock, state, retry.NewBucket(budgetBurst, budgetBurst))
-		}
-	}
-	r.desks.Store(&next)
-	for k, d := range next {
-		d.post(assign.Listed{Servers: value.ListOf(servers[k]...)})
-	}
-	r.Client.Retain(func(a string) bool { return addresses[a] })
-}
-
 // Proved reports whether keys can be checked at the time.
 func (r *Relay) Proved(now hoist.Millis) bool {
 	return r.Follower.View().Age(now) <= hoist.Millis(r.Settings.Bounds().RevokeMs())*keyAgeTenths/10
@@ -112,7 +93,8 @@
 	holder   value.KeyHolder
 	rank     int32
 	desk     *desk
-	service  string
+	service  *service
+	target   string
 	progress Progress
 	avoid    value.List[string]
 	// last is the number of the last event that was passed on, and numbered says that there was one.
@@ -122,11 +104,11 @@
 	server string
 	first  hoist.Millis
 	reason string
-	basis  assign.Basis
+	basis  value.PlaceAnswer
 	// granted is the time from the arrival to the last grant.
 	granted hoist.Millis
-	load   value.ServerLoad
-	view   *feed.View
+	load    value.ServerLoad
+	view    *feed.View
 	// failed is the complete error answer of the last attempt.
 	failed *answer
 }
@@ -141,7 +123,7 @@
 		j.end()
 		return
 	}
-	j.desk.earn(r.Settings.Retries().Permille() * budgetShare / 10)
+	j.service.earn(r.Settings.Retries().Permille() * budgetShare / 10)
 	ctx, cancel := context.WithTimeoutCause(ctx, (j.progress.End - r.Clock.Now()).Duration(), errExpired)
 	defer cancel()
 	j.serve(ctx)
@@ -170,10 +152,11 @@
 		}
 	}
 	j.rank = t.Rank(j.route, j.holder)
-	j.service = route.Service(j.route, j.request.ID)
-	if j.desk, ok = (*j.desks.Load())[j.service]; !ok {
+	j.target = route.Service(j.route, j.request.ID)
+	if j.service, ok = (*j.services.Load())[j.target]; !ok {
 		return Unready{}
 	}
+	j.desk = j.service.desk(j.request)
 	end := DefaultPatience
 	if j.request.Patience > 0 {
 		end = j.request.Patience
@@ -193,18 +176,18 @@
 func (j *job) serve(ctx context.Context) {
 	for {
 		id := j.serial.Add(1)
-		granted, ok := j.desk.ask(ctx, j.work(id)).(assign.Grant)
-		if !ok {
-			j.unplaced(ctx)
+		a := j.desk.ask(ctx, j.work(id))
+		if a.Verdict() != value.PlaceVerdictGranted {
+			j.unplaced(ctx, a)
 			return
 		}
-		j.server, j.basis = granted.Server.Id(), granted.Basis
+		j.server, j.basis = a.Server(), a
 		j.granted = j.Clock.Now() - j.request.Arrived
-		o := j.attempt(ctx, id, granted.Server)
+		o := j.place(ctx, id)
 		var step Step
 		j.progress, step = j.progress.After(o, j.budget(o), j.Clock.Now())
 		if _, again := step.(Again); again {
-			j.avoid = j.avoid.Append(granted.Server.Id())
+			j.avoid = j.avoid.Append(j.server)
 			continue
 		}
 		j.finish(step)
@@ -212,20 +195,30 @@
 	}
 }
 
+// place sends the request to the granted server, unless this instance knows that it is leaving or gone.
+func (j *job) place(ctx context.Context, id uint64) Outcome {
+	s, ok := j.desk.state.Load().Server(j.server)
+	if !ok || s.Leaving() {
+		j.desk.finished(id, assign.Left)
+		return Unsent{}
+	}
+	return j.attempt(ctx, id, s)
+}
+
 // budget takes a repeat out of the budget when the outcome may lead to one that reaches a server twice.
 func (j *job) budget(o Outcome) bool {
 	switch o.(type) {
 	case NotRun:
-		return j.desk.charge()
+		return j.service.charge()
 	case Lost, Failed, Cut:
-		return j.progress.Repeatable && j.progress.Runs+1 < j.progress.Attempts && j.desk.charge()
+		return j.progress.Repeatable && j.progress.Runs+1 < j.progress.Attempts && j.service.charge()
 	default:
 		return true
 	}
 }
 
 // unplaced ends a request for which no server was found.
-func (j *job) unplaced(ctx context.Context) {
+func (j *job) unplaced(ctx context.Context, a value.PlaceAnswer) {
 	switch {
 	case ctx.Err() != nil && !expired(ctx):
 		j.reason = "caller left"
@@ -233,6 +226,8 @@
 		j.finish(Abort{})
 	case j.progress.Runs > 0:
 		j.finish(Fail{})
+	case a.Verdict() == value.PlaceVerdictRefused:
+		j.refuse(Busy{After: hoist.Millis(a.AfterMs())})
 	default:
 		j.finish(Reject{})
 	}
@@ -241,7 +236,8 @@
 // work returns what the desk needs to know of the request.
 func (j *job) work(id uint64) value.Work {
 	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
-		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.End)).WithAvoid(j.avoid)
+		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.End)).WithAvoid(j.avoid).
+		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre())
 }
 
 // finish answers the caller.
@@ -282,10 +278,10 @@
 	whole := now - j.request.Arrived
 	j.Metrics.ended(j, whole)
 	fields := logrus.Fields{
-		"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name(), "rank": j.rank, "service": j.service,
+		"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name(), "rank": j.rank, "service": j.target,
 		"server": j.server, "sends": j.progress.Sends, "runs": j.progress.Runs, "first_ms": j.first, "whole_ms": whole,
-		"result": j.reason, "age_ms": j.view.Age(now), "granted_ms": j.granted, "fresh": j.basis.Fresh, "unread": j.basis.Unread,
-		"running": j.basis.Running, "server_running": j.load.Running(), "server_waiting": j.load.Waiting(), "slowness": j.load.Slowness(),
+		"result": j.reason, "age_ms": j.view.Age(now), "granted_ms": j.granted, "fresh": j.basis.Fresh(), "unread": j.basis.Unread(),
+		"running": j.basis.Running(), "server_running": j.load.Running(), "server_waiting": j.load.Waiting(), "slowness": j.load.Slowness(),
 	}
 	if j.view.Table != nil {
 		fields["version"] = j.view.Table.Version()
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -12,6 +12,7 @@
 	bounds     ForwardBounds
 	retries    ForwardRetries
 	peers      ForwardPeers
+	region     string
 }
 
 // Name returns the field's value. Name of the instance.
@@ -86,6 +87,15 @@
 	return f
 }
 
+// Region returns the field's value. Region of the instance.
+func (f ForwardSettings) Region() string { return f.region }
+
+// WithRegion returns a copy with the field replaced.
+func (f ForwardSettings) WithRegion(v string) ForwardSettings {
+	f.region = v
+	return f
+}
+
 // ForwardListen holds the addresses that a forwarding router listens on, as IP:port.
 type ForwardListen struct {
 	callers string
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -386,6 +386,8 @@
 	targetMs     int64
 	endMs        int64
 	avoid        List[string]
+	origin       string
+	datacentre   string
 }
 
 // Id returns the field's value. Id of the request inside this process.
@@ -460,6 +462,24 @@
 	return w
 }
 
+// Origin returns the field's value. Instance that received the request.
+func (w Work) Origin() string { return w.origin }
+
+// WithOrigin returns a copy with the field replaced.
+func (w Work) WithOrigin(v string) Work {
+	w.origin = v
+	return w
+}
+
+// Datacentre returns the field's value. Data centre of that instance.
+func (w Work) Datacentre() string { return w.datacentre }
+
+// WithDatacentre returns a copy with the field replaced.
+func (w Work) WithDatacentre(v string) Work {
+	w.datacentre = v
+	return w
+}
+
 // ServerLoad is what a backend server says of itself in an answer.
 type ServerLoad struct {
 	running  int32
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -31,6 +31,7 @@
 	if m.HasPeers() {
 		v = v.WithPeers(ForwardPeersValue(m.GetPeers()))
 	}
+	v = v.WithRegion(m.GetRegion())
 	return v
 }
 
@@ -57,6 +58,7 @@
 	if x := ForwardPeersWire(v.Peers()); proto.Size(x) > 0 {
 		m.SetPeers(x)
 	}
+	m.SetRegion(v.Region())
 	return m
 }
 
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -211,6 +211,8 @@
 		}
 		v = v.WithAvoid(value.ListOf(items...))
 	}
+	v = v.WithOrigin(m.GetOrigin())
+	v = v.WithDatacentre(m.GetDatacentre())
 	return v
 }
 
@@ -237,6 +239,8 @@
 		}
 		m.SetAvoid(items)
 	}
+	m.SetOrigin(v.Origin())
+	m.SetDatacentre(v.Datacentre())
 	return m
 }
 
