Count the load that a server was given lately

Cause: idle servers were equal to the choice, so the first of the list got new prompts and with them the requests that follow. Change: prompt tokens that a server was given in the last seconds add a small cost. The log line of a request shows its longest pause between events.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -20,8 +20,8 @@
 			if !s.rules.admits(x, w) {
 				continue
 			}
-			fresh, again := s.uncached(w, x, now)
-			if c := cost(x, w, fresh, again, now); c < lowest {
+			fresh, waste := s.uncached(w, x, now)
+			if c := cost(x, w, fresh, waste, now); c < lowest {
 				best, basis, lowest = i, Basis{Fresh: fresh, Unread: x.unread(), Running: x.runs.Len()}, c
 			}
 		}
@@ -42,35 +42,35 @@
 	return false
 }
 
-// uncached returns the prompt tokens that the server must compute, and how many of them another server has computed a moment ago.
-func (s State) uncached(w value.Work, x server, now hoist.Millis) (fresh, again int32) {
+// uncached returns the prompt tokens that the server must compute, and the part of them that counts as computed in vain.
+func (s State) uncached(w value.Work, x server, now hoist.Millis) (fresh, waste int32) {
 	cached := true
 	last := w.Parts().Len() - 1
 	for i := range w.Parts().Len() {
 		p := w.Parts().At(i)
 		if i == last {
-			return fresh + p.Tokens(), again
+			return fresh + p.Tokens(), waste
 		}
-		used := s.parts.used(p.Id(), x.entry.Id())
-		if cached = cached && used > 0 && now-used < partLife; cached {
+		h := s.parts.presence(p.Id(), x.entry.Id(), now)
+		if cached = cached && h.here; cached {
 			continue
 		}
 		fresh += p.Tokens()
-		if t := s.parts.last(p.Id()); t > 0 && now-t < reuseWindow {
-			again += p.Tokens()
+		if h.wasted(now) {
+			waste += p.Tokens()
 		}
 	}
-	return fresh, again
+	return fresh, waste
 }
 
 // cost returns what it costs to run the request at the server, in milliseconds.
-func cost(x server, w value.Work, fresh, again int32, now hoist.Millis) float64 {
+func cost(x server, w value.Work, fresh, waste int32, now hoist.Millis) float64 {
 	c := float64(x.runs.Len())
 	slow := x.slowness(now)
 	if w.Parts().Len() == 0 {
 		c = plainCost * (c + 1) / float64(max(x.entry.Slots(), 1)) * slow
 	} else {
-		c = slow*((float64(x.unread())+float64(fresh))/readRate+c*runCost) + againWeight*float64(again)/readRate
+		c = slow*((float64(x.unread())+recentWeight*x.recent(now)+float64(fresh))/readRate+c*runCost) + wasteWeight*float64(waste)/readRate
 	}
 	if x.entry.Datacentre() != w.Datacentre() {
 		c += remoteCost
--- a/assign/parts.go
+++ b/assign/parts.go
@@ -9,8 +9,8 @@
 	// partRows and partColumns divide the table of parts, so that a change copies a small piece of it.
 	partRows    = 32
 	partColumns = 32
-	// partCopies bounds the servers that are remembered for one part.
-	partCopies = 64
+	// cellMost bounds the holdings of one cell: a few parts on every server of a shard.
+	cellMost = 128
 	// partLife is the time after which a server has probably evicted a part that nobody used.
 	partLife = 20 * hoist.Second
 )
@@ -49,37 +49,38 @@
 	return p.rows.At(row).At(column)
 }
 
-// used returns the time at which the server last used the part, or zero.
-func (p parts) used(part uint64, server string) hoist.Millis {
-	for h := range p.at(part).All() {
-		if h.part == part && h.server == server {
-			return h.used
-		}
-	}
-	return 0
+// presence says how a prompt part is held.
+type presence struct {
+	// here says that the server of interest has used the part within its life.
+	here bool
+	// last is the time of the last use at any server, or zero.
+	last hoist.Millis
 }
 
-// last returns the time at which any server last used the part, or zero.
-func (p parts) last(part uint64) hoist.Millis {
-	var last hoist.Millis
+// presence returns how the part is held, as seen from the server.
+func (p parts) presence(part uint64, server string, now hoist.Millis) presence {
+	var x presence
 	for h := range p.at(part).All() {
-		if h.part == part {
-			last = max(last, h.used)
+		if h.part != part || now-h.used >= partLife {
+			continue
 		}
+		x.here = x.here || h.server == server
+		x.last = max(x.last, h.used)
 	}
-	return last
+	return x
+}
+
+// wasted reports whether computing the part at another server counts as computing it in vain.
+func (x presence) wasted(now hoist.Millis) bool {
+	return !x.here && x.last > 0 && now-x.last < reuseWindow
 }
 
 // with returns a copy in which the server has used the part now; old holdings of the cell go.
 func (p parts) with(part uint64, server string, now hoist.Millis) parts {
 	row, column := cell(part)
 	list := []holding{{part, server, now}}
-	copies := 1
 	for h := range p.rows.At(row).At(column).All() {
-		if h.part == part {
-			copies++
-		}
-		if (h.part != part || h.server != server && copies <= partCopies) && now-h.used < partLife {
+		if (h.part != part || h.server != server) && now-h.used < partLife && len(list) < cellMost {
 			list = append(list, h)
 		}
 	}
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -8,8 +8,12 @@
 const (
 	// readRate is the speed at which a busy engine computes prompt tokens between the tokens of other requests, in tokens per millisecond.
 	readRate = 45
-	// againWeight is the weight of prompt tokens that another server has computed a moment ago, against the time that they take.
-	againWeight = 12
+	// wasteWeight is the weight of prompt tokens that are computed in vain, against the time that they take.
+	wasteWeight = 12
+	// recentWeight is the weight of the prompt tokens that a server was given lately against those that it has still to compute.
+	recentWeight = 0.02
+	// recentTime is the time after which prompt tokens that a server was given count about a third.
+	recentTime = 2 * hoist.Second
 	// reuseWindow is the time within which computing a part again counts as waste; deployments state 4.8 to 7.1 s.
 	reuseWindow = 8 * hoist.Second
 	// runCost is the delay that one running request adds to the first token of the next, in milliseconds.
--- /dev/null
+++ b/assign/script_test.go
@@ -0,0 +1,134 @@
+package assign_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/assign"
+	"chicoryhoist.example/hoist/golden"
+	"chicoryhoist.example/hoist/value"
+)
+
+func TestAssign(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "assign")
+}
+
+// number reads a decimal number.
+func number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+// servers reads servers of the form ID:DATACENTRE:SLOTS, with :leaving behind one that is leaving.
+func servers(fields []string) value.List[value.BackendServer] {
+	var list []value.BackendServer
+	for _, f := range fields {
+		p := strings.Split(f, ":")
+		list = append(list, value.BackendServer{}.WithId(p[0]).WithDatacentre(p[1]).WithSlots(int32(number(p[2]))).WithLeaving(len(p) > 3))
+	}
+	return value.ListOf(list...)
+}
+
+// work reads the request of a line; parts have the form ID:TOKENS.
+func work(l golden.Line) value.Work {
+	w := value.Work{}.WithId(uint64(l.Int("id"))).WithRank(int32(l.Int("rank"))).WithArrivedMs(l.Int("at")).WithTargetMs(250).
+		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x")
+	if l.Has("end") {
+		w = w.WithEndMs(l.Int("end"))
+	}
+	for _, f := range l.List("parts") {
+		id, tokens, _ := strings.Cut(f, ":")
+		w = w.WithParts(w.Parts().Append(value.PromptPart{}.WithId(uint64(number(id))).WithTokens(int32(number(tokens)))))
+	}
+	return w
+}
+
+// runs reads requests at servers of the form ID:SERVER:FRESH.
+func runs(l golden.Line) value.List[value.PlaceRun] {
+	var list []value.PlaceRun
+	for _, f := range l.List("runs") {
+		p := strings.Split(f, ":")
+		w := value.Work{}.WithId(uint64(number(p[0]))).WithOrigin(l.Text("from"))
+		list = append(list, value.PlaceRun{}.WithWork(w).WithServer(p[1]).WithFresh(int32(number(p[2]))))
+	}
+	return value.ListOf(list...)
+}
+
+// results names the results of requests in scripts.
+var results = map[string]assign.Result{
+	"done": assign.Done, "left": assign.Left, "full": assign.Full, "moved": assign.Moved, "failing": assign.Failing, "unreachable": assign.Unreachable,
+}
+
+// decode reads the event of a line.
+func decode(l golden.Line) assign.Event {
+	id := uint64(l.Int("id"))
+	switch l.Verb {
+	case "servers":
+		return assign.Listed{Servers: servers(l.List("list"))}
+	case "ask":
+		return assign.Asked{Work: work(l)}
+	case "began":
+		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness")))
+		return assign.Began{ID: id, Load: load, Loaded: l.Has("slowness")}
+	case "ended":
+		return assign.Ended{ID: id, Result: results[l.Text("result")]}
+	case "withdrawn":
+		return assign.Withdrawn{ID: id}
+	case "placed":
+		p := value.PlaceRun{}.WithWork(work(l)).WithServer(l.Text("server")).WithFresh(int32(l.Int("fresh")))
+		return assign.Placed{Run: p}
+	case "held":
+		return assign.Held{Origin: l.Text("from"), Runs: runs(l)}
+	case "vanished":
+		return assign.Vanished{Origin: l.Text("from")}
+	case "tick":
+		return assign.Ticked{}
+	default:
+		Fail("unknown verb " + l.Verb)
+		return nil
+	}
+}
+
+// show renders an effect.
+func show(e assign.Effect) string {
+	switch e := e.(type) {
+	case assign.Grant:
+		return fmt.Sprintf("grant %d at %s fresh=%d unread=%d running=%d", e.ID, e.Server.Id(), e.Basis.Fresh, e.Basis.Unread, e.Basis.Running)
+	case assign.Refuse:
+		return fmt.Sprintf("refuse %d after=%d %s", e.ID, e.After, e.Reason)
+	case assign.Queued:
+		return fmt.Sprintf("queued %d", e.ID)
+	default:
+		return "unknown"
+	}
+}
+
+// A changed effect sends a request to a server that is leaving, failing or loaded while a better one is there, forgets
+// or doubles a request, or refuses one that could run.
+var _ = DescribeTable("scripts", func(c golden.Case) {
+	s := assign.New(assign.DefaultRules())
+	Expect(golden.Play(c.Input, func(l golden.Line) string {
+		var effects []assign.Effect
+		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
+		var out strings.Builder
+		for _, e := range effects {
+			out.WriteString(show(e) + "\n")
+		}
+		fmt.Fprintf(&out, "running=%d waiting=%d", s.Running(), s.Waiting())
+		return out.String()
+	})).To(golden.Match(c.Path))
+}, func() []TableEntry {
+	var entries []TableEntry
+	for _, c := range golden.Cases("testdata") {
+		entries = append(entries, Entry(c.Name, c))
+	}
+	return entries
+}())
--- a/assign/server.go
+++ b/assign/server.go
@@ -1,6 +1,8 @@
 package assign
 
 import (
+	"math"
+
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/value"
 )
@@ -25,14 +27,23 @@
 	// load is the last report and reported its time; a report older than reportLife counts for nothing.
 	load     value.ServerLoad
 	reported hoist.Millis
+	// given counts the prompt tokens that the server was given, as of the last one; earlier ones count less.
+	given   float64
+	givenAt hoist.Millis
 }
 
 // withRun returns a copy that runs one more request.
 func (s server) withRun(r run) server {
 	s.runs = s.runs.Append(r)
+	s.given, s.givenAt = s.recent(r.placed)+float64(r.fresh), r.placed
 	return s
 }
 
+// recent returns the prompt tokens that the server was given lately.
+func (s server) recent(now hoist.Millis) float64 {
+	return s.given * math.Exp(-float64(now-s.givenAt)/float64(recentTime))
+}
+
 // find returns the index of the request, or -1.
 func (s server) find(id uint64) int {
 	for i := range s.runs.Len() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -246,12 +246,22 @@
 		if err := j.caller.Write(e.Data); err != nil {
 			return Left{}, err
 		}
+		j.mark()
 		if e.Numbered {
 			j.last, j.numbered = e.ID, true
 		}
 	}
 }
 
+// mark notes the time of an event.
+func (j *job) mark() {
+	now := j.Clock.Now()
+	if j.event > 0 {
+		j.longest = max(j.longest, now-j.event)
+	}
+	j.event = now
+}
+
 // ordered returns an error for an event that doesn't follow the last one.
 func (j *job) ordered(e uplink.Event) error {
 	if e.Numbered && j.numbered && e.ID != j.last+1 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,8 +103,10 @@
 	// server, first, reason and tail describe the request in the log.
 	server string
 	first  hoist.Millis
-	reason string
-	basis  value.PlaceAnswer
+	// longest is the longest pause between two events, and event the time of the last one.
+	longest, event hoist.Millis
+	reason         string
+	basis          value.PlaceAnswer
 	// granted is the time from the arrival to the last grant.
 	granted hoist.Millis
 	load    value.ServerLoad
@@ -279,7 +281,7 @@
 	j.Metrics.ended(j, whole)
 	fields := logrus.Fields{
 		"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name(), "rank": j.rank, "service": j.target,
-		"server": j.server, "sends": j.progress.Sends, "runs": j.progress.Runs, "first_ms": j.first, "whole_ms": whole,
+		"server": j.server, "sends": j.progress.Sends, "runs": j.progress.Runs, "first_ms": j.first, "whole_ms": whole, "pause_ms": j.longest,
 		"result": j.reason, "age_ms": j.view.Age(now), "granted_ms": j.granted, "fresh": j.basis.Fresh(), "unread": j.basis.Unread(),
 		"running": j.basis.Running(), "server_running": j.load.Running(), "server_waiting": j.load.Waiting(), "slowness": j.load.Slowness(),
 	}
