Count the prompts of lower ranks in part

Cause: engines let higher ranks overtake prompts that they have not begun, but the choice of a server counted all prompts alike. Change: prompt tokens of lower ranks count a fifth.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -70,7 +70,7 @@
 	if w.Parts().Len() == 0 {
 		c = plainCost * (c + 1) / float64(max(x.entry.Slots(), 1)) * slow
 	} else {
-		c = slow*((float64(x.unread())+recentWeight*x.recent(now)+float64(fresh))/readRate+c*runCost) + wasteWeight*float64(waste)/readRate
+		c = slow*((x.ahead(w.Rank())+recentWeight*x.recent(now)+float64(fresh))/readRate+c*runCost) + wasteWeight*float64(waste)/readRate
 	}
 	if x.entry.Datacentre() != w.Datacentre() {
 		c += remoteCost
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -10,6 +10,8 @@
 	readRate = 45
 	// wasteWeight is the weight of prompt tokens that are computed in vain, against the time that they take.
 	wasteWeight = 12
+	// lowerWeight is the part of the prompt tokens of lower ranks that delays a request: what the engine has begun to compute.
+	lowerWeight = 0.2
 	// recentWeight is the weight of the prompt tokens that a server was given lately against those that it has still to compute.
 	recentWeight = 0.02
 	// recentTime is the time after which prompt tokens that a server was given count about a third.
--- a/assign/server.go
+++ b/assign/server.go
@@ -134,6 +134,22 @@
 	return n
 }
 
+// ahead returns the prompt tokens that the server computes before those of a new request of the rank; engines let
+// higher ranks overtake what they have not begun, so lower ranks count in part.
+func (s server) ahead(rank int32) float64 {
+	var n float64
+	for r := range s.runs.All() {
+		switch {
+		case r.began:
+		case r.work.Rank() > rank:
+			n += lowerWeight * float64(r.fresh)
+		default:
+			n += float64(r.fresh)
+		}
+	}
+	return n
+}
+
 // slowness returns the factor by which work takes longer than usual, as last reported.
 func (s server) slowness(now hoist.Millis) float64 {
 	if now-s.reported > reportLife || s.load.Slowness() <= 0 {
