Refuse content that crashes backend servers, and test whole routers

Change: when an answer is lost and the server refuses connections right after, the crash is held against the caller, path and body, with the existing table of suspects, and spread as gossip; the second crash isolates the content. A lost answer alone charges nothing. Stand-ins of the platform's store and servers drive a whole process through answers, faults, revocation, an absent store, compaction, leaving servers and a planned stop.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -103,7 +103,7 @@
 	m, err := mesh.New(mesh.Options{
 		Clock: clock, Log: p.log, Settings: o.Settings,
 		Receive: func(sender string, _ netip.AddrPort, b mesh.Body) { p.relay.Receive(sender, b) },
-		Deliver: func([]value.Item) {},
+		Deliver: func(items []value.Item) { p.relay.Deliver(items) },
 		Changed: func(old, v *member.View) { p.relay.Changed(old, v) },
 	})
 	if err != nil {
--- /dev/null
+++ b/cmd/standin/fakbe/server.go
@@ -0,0 +1,180 @@
+// Package fakbe is a stand-in for a backend server of the users' platform: it answers any request with bytes that
+// follow from the request's id, counts its runs, and fails in the ways that tests ask for.
+package fakbe
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Names of the headers.
+const (
+	idHeader     = "Chicoryhoist-Request-Id"
+	sealHeader   = "Chicoryhoist-Response-Seal"
+	notRunHeader = "Chicoryhoist-Not-Executed"
+	expectHeader = "Chicoryhoist-Expect-Instance"
+)
+
+// StreamPrefix is the prefix of the paths that are answered with a stream.
+const StreamPrefix = "/stream/"
+
+// Events is the number of events of a stream.
+const Events = 12
+
+// Fault is a way to fail.
+type Fault int
+
+// Faults of a server.
+const (
+	// None serves.
+	None Fault = iota
+	// Refuse says that the request has not run.
+	Refuse
+	// Reset runs the request and breaks the connection off.
+	Reset
+	// Cut breaks a stream off in the middle of an event.
+	Cut
+	// Hang runs the request and never answers.
+	Hang
+	// Unsealed answers without a seal.
+	Unsealed
+	// Error answers with status 500.
+	Error
+)
+
+// Run is one request that a server has run.
+type Run struct {
+	ID, Key, Workspace, Deadline, After string
+}
+
+// Log collects the runs of all servers.
+type Log struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Runs returns the runs of a request, or all runs without an id.
+func (l *Log) Runs(id string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []Run
+	for _, r := range l.runs {
+		if id == "" || r.ID == id {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// Server is one backend server.
+type Server struct {
+	id    string
+	log   *Log
+	delay time.Duration
+	mu    sync.Mutex
+	fault Fault
+	left  int
+}
+
+// New returns a server that takes the delay for each answer and for each event of a stream.
+func New(id string, l *Log, delay time.Duration) *Server {
+	return &Server{id: id, log: l, delay: delay}
+}
+
+// Fail makes the next n requests fail.
+func (s *Server) Fail(f Fault, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault, s.left = f, n
+}
+
+// next returns the fault of the next request.
+func (s *Server) next() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left == 0 {
+		return None
+	}
+	s.left--
+	return s.fault
+}
+
+// Body returns the answer to a request.
+func Body(id string) string { return fmt.Sprintf("answer to %s %016x\n", id, xxhash.Sum64String(id)) }
+
+// Event returns one event of the stream that answers a request.
+func Event(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %016x\n\n", n, xxhash.Sum64String(id+"/"+strconv.Itoa(n)))
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // A broken body ends with the connection.
+	id := r.Header.Get(idHeader)
+	w.Header().Set(idHeader, id)
+	if e := r.Header.Get(expectHeader); e != "" && e != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	f := s.next()
+	if f == Refuse {
+		w.Header().Set(notRunHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.log.mu.Lock()
+	s.log.runs = append(s.log.runs, Run{
+		id, r.Header.Get("Chicoryhoist-Key"), r.Header.Get("Chicoryhoist-Tenant"), r.Header.Get("Chicoryhoist-Deadline-Ms"), r.Header.Get("Last-Event-Id"),
+	})
+	s.log.mu.Unlock()
+	if f != Unsealed {
+		w.Header().Set(sealHeader, s.id)
+	}
+	switch f {
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+	case Error:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		if strings.HasPrefix(r.URL.Path, StreamPrefix) {
+			s.stream(w, r, id, f)
+			return
+		}
+		time.Sleep(s.delay)
+		_, _ = io.WriteString(w, Body(id)) // A caller that has left needs no answer.
+	}
+}
+
+// stream sends the events after the last one that the caller has.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, f Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		last = 0
+	}
+	control := http.NewResponseController(w)
+	for n := last + 1; n <= Events; n++ {
+		e := Event(id, n)
+		if f == Cut && n > last+Events/3 {
+			_, _ = io.WriteString(w, e[:len(e)/2])
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, e); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+		time.Sleep(s.delay)
+	}
+}
--- /dev/null
+++ b/cmd/standin/fakst/store.go
@@ -0,0 +1,205 @@
+// Package fakst is a stand-in for the store of the users' platform: ranges and watches over revisions, with faults.
+package fakst
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"chicoryhoist.example/hoist/platform/message"
+)
+
+// pageItems is the number of items of one page; it is small so that tests see several pages.
+const pageItems = 5
+
+// Mode says how the store answers.
+type Mode int
+
+// Modes of the store.
+const (
+	// Serving stores answer.
+	Serving Mode = iota
+	// Refusing stores answer with status 503.
+	Refusing
+	// Silent stores never answer.
+	Silent
+)
+
+// Store holds items in memory.
+type Store struct {
+	mu       sync.Mutex
+	mode     Mode
+	revision int64
+	oldest   int64
+	items    map[string]*message.Item
+	history  []*message.Item
+	changed  chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, oldest: 1, items: map[string]*message.Item{}, changed: make(chan struct{})}
+}
+
+// SetMode changes how the store answers; waiting watches see it.
+func (s *Store) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+	s.wake()
+}
+
+// Put writes an item.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	i := &message.Item{}
+	i.SetKey(key)
+	i.SetValue(value)
+	i.SetRevision(s.revision)
+	s.items[key] = i
+	s.history = append(s.history, i)
+	s.wake()
+}
+
+// Remove removes an item.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	i := &message.Item{}
+	i.SetKey(key)
+	i.SetRevision(s.revision)
+	i.SetRemoved(true)
+	delete(s.items, key)
+	s.history = append(s.history, i)
+	s.wake()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
+	s.wake()
+}
+
+// wake ends the waiting of every watch.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Handler returns the store's HTTP interface.
+func (s *Store) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /chicoryhoist/kv-range", s.page)
+	m.HandleFunc("GET /chicoryhoist/kv-watch", s.watch)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		mode := s.mode
+		s.mu.Unlock()
+		switch mode {
+		case Refusing:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Silent:
+			<-r.Context().Done()
+		default:
+			m.ServeHTTP(w, r)
+		}
+	})
+}
+
+// page answers one page of a range.
+func (s *Store) page(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, r.FormValue("prefix")) && k > r.FormValue("after") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	p := &message.Page{}
+	p.SetAt(s.revision)
+	p.SetHasMore(len(keys) > pageItems)
+	var entries []*message.Item
+	for _, k := range keys[:min(len(keys), pageItems)] {
+		entries = append(entries, s.items[k])
+	}
+	p.SetEntries(entries)
+	write(w, p)
+}
+
+// watch answers with the changes after a revision as soon as there is one, or with none after the wait.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	wait, err2 := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		if after < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		e, mode, changed := s.since(after), s.mode, s.changed
+		s.mu.Unlock()
+		if mode == Serving && (over || len(e.GetEvents()) > 0) {
+			write(w, e)
+			return
+		}
+		if over {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes after a revision.
+func (s *Store) since(after int64) *message.Events {
+	e := &message.Events{}
+	e.SetAt(s.revision)
+	var events []*message.Item
+	for _, i := range s.history {
+		if i.GetRevision() > after {
+			events = append(events, i)
+		}
+	}
+	e.SetEvents(events)
+	return e
+}
+
+// write sends a message as JSON with the names of the schema.
+func write(w http.ResponseWriter, m proto.Message) {
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b) // A reader that has left needs no answer.
+}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -96,6 +96,7 @@
 var (
 	Forwarded = Code{700, logrus.InfoLevel, "request has ended", "Read docs/OPERATIONS.md for the way from a request to its cause."}
 	Attempted = Code{701, logrus.InfoLevel, "attempt at a backend server has failed", "Look at the server when it repeats."}
+	Charged   = Code{703, logrus.WarnLevel, "backend server crashed while it ran a request; the crash is held against its content", "Look at the server when other content is charged as well."}
 	Isolated  = Code{702, logrus.WarnLevel, "request was refused because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -112,7 +113,7 @@
 		Foreign, Denied,
 		StoreLost, StoreBack, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsRead, SettingsBad, LogDropped,
 		MeshRead, MeshSend, MeshFull, OwnerOut, OwnerNew,
-		Forwarded, Attempted, Isolated,
+		Forwarded, Attempted, Isolated, Charged,
 		Violated,
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		o := j.broken(ctx, err)
 		j.settle(id, s, o, err)
+		if _, lost := o.(Lost); lost {
+			go j.blame(s)
+		}
 		return o
 	}
 	o, err := j.receive(ctx, id, a)
@@ -52,6 +55,9 @@
 		a.Discard()
 	}
 	j.settle(id, s, o, err)
+	if _, cut := o.(Cut); cut && !errors.Is(err, errOrder) {
+		go j.blame(s)
+	}
 	return o
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,13 +54,14 @@
 	members  atomic.Pointer[member.View]
 	// replies holds the channels of the requests that wait for a server, by their id.
 	replies sync.Map
+	guard   *guard
 	serial  atomic.Uint64
 	active  atomic.Int64
 }
 
 // New returns a relay whose goroutines run until ctx ends.
 func New(ctx context.Context, o Options) *Relay {
-	r := &Relay{Options: o, ctx: ctx}
+	r := &Relay{Options: o, ctx: ctx, guard: newGuard()}
 	r.services.Store(&map[string]*service{})
 	// Ids of different instances and of different starts must not meet at the owner of a shard.
 	r.serial.Store(rand.Uint64() << serialBits)
@@ -153,6 +154,10 @@
 			return Unproved{After: proofPause}
 		}
 	}
+	if after, ok := j.guard.isolated(fingerprint(j.request)); ok {
+		j.Log.Write(event.Isolated, logrus.Fields{"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name()})
+		return Isolated{After: after}
+	}
 	j.rank = t.Rank(j.route, j.holder)
 	j.target = route.Service(j.route, j.request.ID)
 	if j.service, ok = (*j.services.Load())[j.target]; !ok {
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -228,6 +228,18 @@
 	return newConn(n.(*net.TCPConn)), nil
 }
 
+// Refused reports whether the address refuses connections; a connection that opens is kept for the next request.
+func (c *Client) Refused(ctx context.Context, address string) bool {
+	x, err := c.open(ctx, address)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	x.lane = c.lane(address)
+	x.until = c.clock.Now() + c.limits.Idle*reuseMargin/10
+	x.lane.put(x)
+	return false
+}
+
 // buffers holds the encoded requests that are not in use.
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
