Let one instance of each data centre read the store for the others

A proof counts from the time of the question less the age that the answer states, so it holds across delays and suspension.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -33,7 +33,7 @@
 	// idleTime is the time for which an idle connection to a backend server is kept when the server announces none.
 	idleTime = 4 * hoist.Second
 	// watchPart divides the revocation bound into the wait of one watch, so that a proof is renewed several times within it.
-	watchPart = 4
+	watchPart = 6
 	// callerIdle bounds the time for which a caller's connection may stay idle; callers of the platform keep theirs for less.
 	callerIdle = 2 * hoist.Minute
 	// headerTime bounds the time in which a caller must send a request's header.
@@ -78,6 +78,7 @@
 	do.ProvideValue(i, o)
 	do.ProvideValue(i, event.NewLog(o.Logger))
 	do.Provide(i, func(do.Injector) (hoist.Clock, error) { return hoist.NewBootClock(), nil })
+	do.Provide(i, provideMesh)
 	do.Provide(i, provideFollower)
 	do.Provide(i, provideProcess)
 	p, err := do.Invoke[*Process](i)
@@ -87,8 +88,10 @@
 // provideFollower makes the follower of the store.
 func provideFollower(i do.Injector) (*feed.Follower, error) {
 	o := do.MustInvoke[Options](i)
-	wait := hoist.Millis(o.Settings.Bounds().RevokeMs()) / watchPart
-	return feed.NewFollower(o.Source, do.MustInvoke[hoist.Clock](i), do.MustInvoke[*event.Log](i), wait), nil
+	return feed.NewFollower(feed.Options{
+		Source: o.Source, Clock: do.MustInvoke[hoist.Clock](i), Log: do.MustInvoke[*event.Log](i),
+		Wait: hoist.Millis(o.Settings.Bounds().RevokeMs()) / watchPart, Mesh: do.MustInvoke[*mesh.Mesh](i),
+	}), nil
 }
 
 // provideProcess makes the process and the parts that refer to one another.
@@ -100,21 +103,15 @@
 		client:   uplink.NewClient(clock, uplink.Limits{Connect: connectTime, Idle: idleTime}),
 		follower: do.MustInvoke[*feed.Follower](i),
 	}
-	m, err := mesh.New(mesh.Options{
-		Clock: clock, Log: p.log, Settings: o.Settings,
-		Receive: func(sender string, _ netip.AddrPort, b mesh.Body) { p.relay.Receive(sender, b) },
-		Deliver: func(items []value.Item) { p.relay.Deliver(items) },
-		Changed: func(old, v *member.View) { p.relay.Changed(old, v) },
-	})
-	if err != nil {
-		stop()
-		return nil, err
-	}
+	m := do.MustInvoke[*mesh.Mesh](i)
 	p.mesh = m
 	p.relay = relay.New(ctx, relay.Options{
 		Clock: clock, Client: p.client, Dialect: o.Dialect, Follower: p.follower, Settings: o.Settings, Log: p.log, Metrics: p.metrics, Mesh: m,
 	})
 	p.follower.OnView = p.relay.Follow
+	m.Receive = p.receive
+	m.Deliver = p.relay.Deliver
+	m.Changed = p.relay.Changed
 	p.edge = edge.New(p.relay)
 	p.exportMetrics()
 	go p.follower.Run(ctx)
@@ -122,6 +119,22 @@
 	return p, nil
 }
 
+// provideMesh opens the connection to the other instances.
+func provideMesh(i do.Injector) (*mesh.Mesh, error) {
+	o := do.MustInvoke[Options](i)
+	return mesh.New(mesh.Options{Clock: do.MustInvoke[hoist.Clock](i), Log: do.MustInvoke[*event.Log](i), Settings: o.Settings})
+}
+
+// receive hands a message of another instance to its part.
+func (p *Process) receive(sender string, _ netip.AddrPort, b mesh.Body) {
+	switch b.(type) {
+	case value.FeedAsk, value.FeedPart, value.FeedHint:
+		p.follower.Receive(sender, b)
+	default:
+		p.relay.Receive(sender, b)
+	}
+}
+
 // exportMetrics registers the metrics that are read from the parts.
 func (p *Process) exportMetrics() {
 	p.metrics.Value("forward_active", "Requests in progress.", func() float64 { return float64(p.relay.Active()) })
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -22,44 +22,11 @@
 
 // Changes are records of the store.
 type Changes struct {
-	Records []Record
+	Records []value.FeedRecord
 	// At is the revision that the records lead to.
 	At int64
 }
 
-// Record is one key of the store at one revision.
-type Record struct {
-	Key      string
-	Revision int64
-	Body     Body
-}
-
-// Body is what a record holds.
-//
-//sumtype:decl
-type Body interface{ isBody() }
-
-// Table is a published route table.
-type Table struct{ Table value.RouteTable }
-
-// Server is a published backend server.
-type Server struct{ Server value.BackendServer }
-
-// Gone is a key that was removed.
-type Gone struct{}
-
-// Unreadable is a value of another writer; it names nothing to use.
-type Unreadable struct{ Why string }
-
-// Other is a key that means nothing to a router.
-type Other struct{}
-
-func (Table) isBody()      {}
-func (Server) isBody()     {}
-func (Gone) isBody()       {}
-func (Unreadable) isBody() {}
-func (Other) isBody()      {}
-
 // Event is the result of a question to the store, or the passing of time.
 //
 //sumtype:decl
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -10,6 +10,7 @@
 
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/event"
+	"chicoryhoist.example/hoist/value"
 )
 
 const (
@@ -19,38 +20,73 @@
 	// pauseLeast and pauseMost bound the pause after a failed question.
 	pauseLeast = 100 * hoist.Millis(1)
 	pauseMost  = hoist.Second
+	// historyMost bounds the changes that are kept for other instances.
+	historyMost = 256
 )
 
+// errBehind says that the reader has no fresh proof itself.
+var errBehind = errors.New("the reader of the store is behind")
+
+// knowledge is what the follower publishes for readers in other goroutines.
+type knowledge struct {
+	view     *View
+	revision int64
+	// history holds the newest changes, the oldest first; it is complete after the revision since.
+	history value.List[value.FeedRecord]
+	since   int64
+}
+
+// Options are the parts that a follower works with.
+type Options struct {
+	Source Source
+	Clock  hoist.Clock
+	Log    *event.Log
+	// Wait is the time for which a watch waits.
+	Wait hoist.Millis
+	// Mesh carries messages to other instances, or is nil.
+	Mesh Mesh
+}
+
 // Follower keeps the view of one process current in a single goroutine.
+//
+// The reader of each data centre watches the store, the others ask the reader and turn to the store when it fails them.
 type Follower struct {
-	source Source
-	clock  hoist.Clock
-	log    *event.Log
-	wait   hoist.Millis
-	view   atomic.Pointer[View]
+	Options
+	known atomic.Pointer[knowledge]
+	peers peers
 	// OnView is called after each change of the view, from the goroutine of Run.
 	OnView func(old, v *View)
 	// Asked and Unanswered count the questions to the store and those without an answer.
 	Asked, Unanswered atomic.Int64
-	state             State
-	listed            bool
-	unreachable       bool
+
+	// The fields below belong to the goroutine of Run.
+	state       State
+	listed      bool
+	unreachable bool
+	// misses counts the questions to the reader in a row without a fresh answer; until alone, the reader is not asked.
+	misses int
+	alone  hoist.Millis
 }
 
-// NewFollower returns a follower whose watches wait for the time.
-func NewFollower(s Source, c hoist.Clock, l *event.Log, wait hoist.Millis) *Follower {
-	f := &Follower{source: s, clock: c, log: l, wait: wait, state: NewState(), OnView: func(_, _ *View) {}}
-	f.view.Store(f.state.View())
+// NewFollower returns a follower of the source.
+func NewFollower(o Options) *Follower {
+	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}}
+	f.known.Store(&knowledge{view: f.state.View()})
+	f.peers.hint = make(chan struct{}, 1)
 	return f
 }
 
 // View returns the latest view.
-func (f *Follower) View() *View { return f.view.Load() }
+func (f *Follower) View() *View { return f.known.Load().view }
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := pauseLeast
 	for ctx.Err() == nil {
+		if f.listed && f.listen(ctx) {
+			pause = pauseLeast
+			continue
+		}
 		e, err := f.ask(ctx)
 		if ctx.Err() != nil {
 			return
@@ -66,7 +102,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-f.clock.After(pause/2 + rand.N(pause)):
+		case <-f.Clock.After(pause/2 + rand.N(pause)):
 		}
 		pause = min(2*pause, pauseMost)
 	}
@@ -74,21 +110,21 @@
 
 // ask puts the next question to the store.
 func (f *Follower) ask(ctx context.Context) (Event, error) {
-	asked := f.clock.Now()
+	asked := f.Clock.Now()
 	f.Asked.Add(1)
 	if !f.listed {
 		ctx, cancel := context.WithTimeout(ctx, listTime.Duration())
 		defer cancel()
-		c, err := f.source.List(ctx)
+		c, err := f.Source.List(ctx)
 		if err != nil {
 			return Failed{}, err
 		}
 		f.listed = true
 		return Listed{c, asked}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, (f.wait + answerTime).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (f.Wait + answerTime).Duration())
 	defer cancel()
-	c, err := f.source.Watch(ctx, f.state.Revision(), f.wait)
+	c, err := f.Source.Watch(ctx, f.state.Revision(), f.Wait)
 	if errors.Is(err, ErrCompacted) {
 		f.listed = false
 		return Ticked{}, err
@@ -104,31 +140,52 @@
 	switch {
 	case err == nil && f.unreachable:
 		f.unreachable = false
-		f.log.Write(event.StoreBack, nil)
+		f.Log.Write(event.StoreBack, nil)
 	case errors.Is(err, ErrCompacted):
-		f.log.Write(event.StoreCompacted, logrus.Fields{"revision": f.state.Revision()})
+		f.Log.Write(event.StoreCompacted, logrus.Fields{"revision": f.state.Revision()})
 	case err != nil:
 		f.Unanswered.Add(1)
 		if !f.unreachable {
 			f.unreachable = true
-			f.log.Write(event.StoreLost, logrus.Fields{"error": err.Error(), "revision": f.state.Revision(), "age_ms": f.View().Age(f.clock.Now())})
+			f.Log.Write(event.StoreLost, logrus.Fields{"error": err.Error(), "revision": f.state.Revision(), "age_ms": f.View().Age(f.Clock.Now())})
 		}
 	}
 }
 
-// apply takes an event over and publishes the view.
+// apply takes an event over, publishes the view and tells the other instances of the data centre that there is something new.
 func (f *Follower) apply(e Event) {
-	f.state = f.state.Decide(e, f.clock.Now())
-	old, v := f.view.Load(), f.state.View()
-	f.view.Store(v)
-	f.record(e, old, v)
-	f.OnView(old, v)
+	old := f.known.Load()
+	f.state = f.state.Decide(e, f.Clock.Now())
+	k := &knowledge{view: f.state.View(), revision: f.state.Revision(), history: old.history, since: old.since}
+	switch e := e.(type) {
+	case Listed:
+		k.history, k.since = value.List[value.FeedRecord]{}, e.Changes.At
+	case Changed:
+		k = k.with(e.Changes.Records)
+	case Failed, Ticked:
+	}
+	f.known.Store(k)
+	f.record(e, old.view, k.view)
+	f.OnView(old.view, k.view)
+	if k.revision > old.revision {
+		f.announce(k.revision)
+	}
+}
+
+// with returns the knowledge with more history.
+func (k *knowledge) with(records []value.FeedRecord) *knowledge {
+	k.history = k.history.Append(records...)
+	for k.history.Len() > historyMost {
+		k.since = k.history.At(0).Revision()
+		k.history = k.history.Without(0)
+	}
+	return k
 }
 
 // record logs what has changed.
 func (f *Follower) record(e Event, old, v *View) {
 	if v.Table != nil && (old.Table == nil || old.Table.Version() != v.Table.Version()) {
-		f.log.Write(event.RoutesInForce, logrus.Fields{"version": v.Table.Version(), "revision": f.state.Revision(), "age_ms": v.Age(f.clock.Now())})
+		f.Log.Write(event.RoutesInForce, logrus.Fields{"version": v.Table.Version(), "revision": f.state.Revision(), "age_ms": v.Age(f.Clock.Now())})
 	}
 	var c Changes
 	switch e := e.(type) {
@@ -139,14 +196,14 @@
 	case Failed, Ticked:
 	}
 	for _, r := range c.Records {
-		switch b := r.Body.(type) {
-		case Unreadable:
-			f.log.Write(event.EntryUnreadable, logrus.Fields{"key": r.Key, "revision": r.Revision, "error": b.Why})
-		case Server:
-			f.log.Write(event.ServerListed, logrus.Fields{"server": b.Server.Id(), "service": b.Server.Service(), "address": b.Server.Address(), "leaving": b.Server.Leaving(), "revision": r.Revision})
-		case Gone:
-			f.log.Write(event.ServerGone, logrus.Fields{"key": r.Key, "revision": r.Revision})
-		case Table, Other:
+		switch b := r.Body().(type) {
+		case value.FeedUnreadable:
+			f.Log.Write(event.EntryUnreadable, logrus.Fields{"key": r.Key(), "revision": r.Revision(), "error": b.Why()})
+		case value.BackendServer:
+			f.Log.Write(event.ServerListed, logrus.Fields{"server": b.Id(), "service": b.Service(), "address": b.Address(), "leaving": b.Leaving(), "revision": r.Revision()})
+		case value.FeedGone:
+			f.Log.Write(event.ServerGone, logrus.Fields{"key": r.Key(), "revision": r.Revision()})
+		case value.RouteTable, value.FeedOther:
 		}
 	}
 }
--- a/feed/state.go
+++ b/feed/state.go
@@ -108,26 +108,26 @@
 }
 
 // withRecord applies one record to the maps, which the caller has copied.
-func (s State) withRecord(r Record, now hoist.Millis) State {
-	old, known := s.entries[r.Key]
-	if r.Revision < old.revision || r.Revision < s.gone[r.Key] {
+func (s State) withRecord(r value.FeedRecord, now hoist.Millis) State {
+	old, known := s.entries[r.Key()]
+	if r.Revision() < old.revision || r.Revision() < s.gone[r.Key()] {
 		return s
 	}
-	switch b := r.Body.(type) {
-	case Table:
-		if s.table == nil || b.Table.Version() > s.table.Version() {
-			s.table = route.NewTable(b.Table)
+	switch b := r.Body().(type) {
+	case value.RouteTable:
+		if s.table == nil || b.Version() > s.table.Version() {
+			s.table = route.NewTable(b)
 		}
-	case Server:
-		s.entries[r.Key] = entry{server: b.Server, revision: r.Revision}
-		delete(s.gone, r.Key)
-	case Gone:
+	case value.BackendServer:
+		s.entries[r.Key()] = entry{server: b, revision: r.Revision()}
+		delete(s.gone, r.Key())
+	case value.FeedGone:
 		if known {
-			s.remove(r.Key, r.Revision, now)
+			s.remove(r.Key(), r.Revision(), now)
 		}
-	case Unreadable:
-		delete(s.entries, r.Key)
-	case Other:
+	case value.FeedUnreadable:
+		delete(s.entries, r.Key())
+	case value.FeedOther:
 	}
 	return s
 }
@@ -153,7 +153,7 @@
 func (s State) withoutMissing(c Changes, now hoist.Millis) State {
 	shown := map[string]bool{}
 	for _, r := range c.Records {
-		shown[r.Key] = true
+		shown[r.Key()] = true
 	}
 	s.entries, s.gone = maps.Clone(s.entries), maps.Clone(s.gone)
 	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
--- a/feed/state_test.go
+++ b/feed/state_test.go
@@ -21,24 +21,24 @@
 }
 
 // records reads records of the form KEY:REVISION:BODY, where the body is vN, ready, leaving, gone or bad.
-func records(fields []string) []feed.Record {
-	var list []feed.Record
+func records(fields []string) []value.FeedRecord {
+	var list []value.FeedRecord
 	for _, f := range fields {
 		p := strings.Split(f, ":")
 		rev, err := strconv.ParseInt(p[1], 10, 64)
 		Expect(err).NotTo(HaveOccurred())
-		r := feed.Record{Key: p[0], Revision: rev}
+		r := value.FeedRecord{}.WithKey(p[0]).WithRevision(rev)
 		switch {
 		case p[2] == "gone":
-			r.Body = feed.Gone{}
+			r = r.WithBody(value.FeedGone{})
 		case p[2] == "bad":
-			r.Body = feed.Unreadable{Why: "bad"}
+			r = r.WithBody(value.FeedUnreadable{}.WithWhy("bad"))
 		case strings.HasPrefix(p[2], "v"):
 			n, err := strconv.ParseUint(p[2][1:], 10, 64)
 			Expect(err).NotTo(HaveOccurred())
-			r.Body = feed.Table{Table: value.RouteTable{}.WithVersion(n)}
+			r = r.WithBody(value.RouteTable{}.WithVersion(n))
 		default:
-			r.Body = feed.Server{Server: value.BackendServer{}.WithId(p[0]).WithService("x").WithLeaving(p[2] == "leaving")}
+			r = r.WithBody(value.BackendServer{}.WithId(p[0]).WithService("x").WithLeaving(p[2] == "leaving"))
 		}
 		list = append(list, r)
 	}
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -120,3 +120,25 @@
 		m.send(netip.AddrPortFrom(a.Addr(), own.Port()), 0, value.MeetRequest{}.WithGossip(g))
 	}
 }
+
+// Reader returns the instance of the own data centre that reads the store; false means that this instance reads for
+// itself, also while its view is stale.
+func (m *Mesh) Reader() (string, bool) {
+	v := m.View()
+	w, ok := v.Watcher()
+	if !ok || v.Stale() || w.Name() == m.Settings.Name() {
+		return "", false
+	}
+	return w.Name(), true
+}
+
+// Neighbours returns the other live instances of the own data centre.
+func (m *Mesh) Neighbours() []string {
+	var names []string
+	for _, x := range m.View().Members() {
+		if x.Datacentre() == m.Settings.Datacentre() && x.Name() != m.Settings.Name() {
+			names = append(names, x.Name())
+		}
+	}
+	return names
+}
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -268,6 +268,6 @@
 		}
 	case value.PlaceHolding:
 		d.post(assign.Held{Origin: sender, Runs: b.Runs()})
-	case value.PlaceAnswer, value.MeetRequest, value.MeetAnswer:
+	default:
 	}
 }
--- a/relay/service.go
+++ b/relay/service.go
@@ -179,7 +179,7 @@
 		r.forward(sender, b.Shard(), b)
 	case value.PlaceHolding:
 		r.forward(sender, b.Shard(), b)
-	case value.MeetRequest, value.MeetAnswer:
+	default:
 	}
 }
 
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -83,6 +83,12 @@
 
 func (PlaceHolding) isDatagramBody() {}
 
+func (FeedAsk) isDatagramBody() {}
+
+func (FeedPart) isDatagramBody() {}
+
+func (FeedHint) isDatagramBody() {}
+
 // Datagram is what instances of the forwarding router send to each other.
 type Datagram struct {
 	sender string
@@ -394,3 +400,200 @@
 	p.began = v
 	return p
 }
+
+// FeedAsk asks the reader of the store for what is newer than a revision.
+type FeedAsk struct {
+	number   uint64
+	revision int64
+}
+
+// Number returns the field's value. Number of the question; the answer repeats it.
+func (f FeedAsk) Number() uint64 { return f.number }
+
+// WithNumber returns a copy with the field replaced.
+func (f FeedAsk) WithNumber(v uint64) FeedAsk {
+	f.number = v
+	return f
+}
+
+// Revision returns the field's value. Revision that the sender has.
+func (f FeedAsk) Revision() int64 { return f.revision }
+
+// WithRevision returns a copy with the field replaced.
+func (f FeedAsk) WithRevision(v int64) FeedAsk {
+	f.revision = v
+	return f
+}
+
+// FeedPart is one part of the answer to a FeedAsk; the parts together are an encoded FeedAnswer.
+type FeedPart struct {
+	number  uint64
+	index   int32
+	count   int32
+	content string
+}
+
+// Number returns the field's value. Number of the question.
+func (f FeedPart) Number() uint64 { return f.number }
+
+// WithNumber returns a copy with the field replaced.
+func (f FeedPart) WithNumber(v uint64) FeedPart {
+	f.number = v
+	return f
+}
+
+// Index returns the field's value. Index of the part, from 0.
+func (f FeedPart) Index() int32 { return f.index }
+
+// WithIndex returns a copy with the field replaced.
+func (f FeedPart) WithIndex(v int32) FeedPart {
+	f.index = v
+	return f
+}
+
+// Count returns the field's value. Number of parts.
+func (f FeedPart) Count() int32 { return f.count }
+
+// WithCount returns a copy with the field replaced.
+func (f FeedPart) WithCount(v int32) FeedPart {
+	f.count = v
+	return f
+}
+
+// Content returns the field's value. Bytes of the part.
+func (f FeedPart) Content() string { return f.content }
+
+// WithContent returns a copy with the field replaced.
+func (f FeedPart) WithContent(v string) FeedPart {
+	f.content = v
+	return f
+}
+
+// FeedAnswer says what is newer than a revision.
+type FeedAnswer struct {
+	ageMs    int64
+	revision int64
+	gap      bool
+	records  List[FeedRecord]
+}
+
+// AgeMs returns the field's value. Age of the proof that nothing newer was in the store, in milliseconds.
+func (f FeedAnswer) AgeMs() int64 { return f.ageMs }
+
+// WithAgeMs returns a copy with the field replaced.
+func (f FeedAnswer) WithAgeMs(v int64) FeedAnswer {
+	f.ageMs = v
+	return f
+}
+
+// Revision returns the field's value. Revision that the records lead to.
+func (f FeedAnswer) Revision() int64 { return f.revision }
+
+// WithRevision returns a copy with the field replaced.
+func (f FeedAnswer) WithRevision(v int64) FeedAnswer {
+	f.revision = v
+	return f
+}
+
+// Gap returns the field's value. Gap says that the reader no longer knows the changes since the revision.
+func (f FeedAnswer) Gap() bool { return f.gap }
+
+// WithGap returns a copy with the field replaced.
+func (f FeedAnswer) WithGap(v bool) FeedAnswer {
+	f.gap = v
+	return f
+}
+
+// Records returns the field's value. Records of the changes.
+func (f FeedAnswer) Records() List[FeedRecord] { return f.records }
+
+// WithRecords returns a copy with the field replaced.
+func (f FeedAnswer) WithRecords(v List[FeedRecord]) FeedAnswer {
+	f.records = v
+	return f
+}
+
+// FeedRecordBody is one of the alternatives of FeedRecord.
+//
+//sumtype:decl
+type FeedRecordBody interface{ isFeedRecordBody() }
+
+func (RouteTable) isFeedRecordBody() {}
+
+func (BackendServer) isFeedRecordBody() {}
+
+func (FeedGone) isFeedRecordBody() {}
+
+func (FeedUnreadable) isFeedRecordBody() {}
+
+func (FeedOther) isFeedRecordBody() {}
+
+// FeedRecord is one key of the store at one revision.
+type FeedRecord struct {
+	key      string
+	revision int64
+	body     FeedRecordBody
+}
+
+// Key returns the field's value. Key of the record.
+func (f FeedRecord) Key() string { return f.key }
+
+// WithKey returns a copy with the field replaced.
+func (f FeedRecord) WithKey(v string) FeedRecord {
+	f.key = v
+	return f
+}
+
+// Revision returns the field's value. Revision of its last change.
+func (f FeedRecord) Revision() int64 { return f.revision }
+
+// WithRevision returns a copy with the field replaced.
+func (f FeedRecord) WithRevision(v int64) FeedRecord {
+	f.revision = v
+	return f
+}
+
+// Body returns the field's value.
+func (f FeedRecord) Body() FeedRecordBody { return f.body }
+
+// WithBody returns a copy with the field replaced.
+func (f FeedRecord) WithBody(v FeedRecordBody) FeedRecord {
+	f.body = v
+	return f
+}
+
+// FeedGone is a key that was removed.
+type FeedGone struct {
+}
+
+// FeedUnreadable is a value that cannot be read.
+type FeedUnreadable struct {
+	why string
+}
+
+// Why returns the field's value. Why it cannot be read.
+func (f FeedUnreadable) Why() string { return f.why }
+
+// WithWhy returns a copy with the field replaced.
+func (f FeedUnreadable) WithWhy(v string) FeedUnreadable {
+	f.why = v
+	return f
+}
+
+// FeedOther is a key that means nothing to a router.
+type FeedOther struct {
+}
+
+// FeedHint says that the reader of the store has something newer.
+type FeedHint struct {
+	revision int64
+}
+
+// Revision returns the field's value. Revision of the reader.
+func (f FeedHint) Revision() int64 { return f.revision }
+
+// WithRevision returns a copy with the field replaced.
+func (f FeedHint) WithRevision(v int64) FeedHint {
+	f.revision = v
+	return f
+}
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -26,6 +26,12 @@
 		v = v.WithBody(PlaceNoteValue(m.GetNote()))
 	case Datagram_Holding_case:
 		v = v.WithBody(PlaceHoldingValue(m.GetHolding()))
+	case Datagram_FeedAsk_case:
+		v = v.WithBody(FeedAskValue(m.GetFeedAsk()))
+	case Datagram_FeedPart_case:
+		v = v.WithBody(FeedPartValue(m.GetFeedPart()))
+	case Datagram_FeedHint_case:
+		v = v.WithBody(FeedHintValue(m.GetFeedHint()))
 	}
 	return v
 }
@@ -48,6 +54,12 @@
 		m.SetNote(PlaceNoteWire(b))
 	case value.PlaceHolding:
 		m.SetHolding(PlaceHoldingWire(b))
+	case value.FeedAsk:
+		m.SetFeedAsk(FeedAskWire(b))
+	case value.FeedPart:
+		m.SetFeedPart(FeedPartWire(b))
+	case value.FeedHint:
+		m.SetFeedHint(FeedHintWire(b))
 	}
 	return m
 }
@@ -217,3 +229,163 @@
 	m.SetBegan(v.Began())
 	return m
 }
+
+// FeedAskValue returns the immutable value of the message.
+func FeedAskValue(m *FeedAsk) value.FeedAsk {
+	var v value.FeedAsk
+	v = v.WithNumber(m.GetNumber())
+	v = v.WithRevision(m.GetRevision())
+	return v
+}
+
+// FeedAskWire returns the message of the immutable value.
+func FeedAskWire(v value.FeedAsk) *FeedAsk {
+	m := &FeedAsk{}
+	m.SetNumber(v.Number())
+	m.SetRevision(v.Revision())
+	return m
+}
+
+// FeedPartValue returns the immutable value of the message.
+func FeedPartValue(m *FeedPart) value.FeedPart {
+	var v value.FeedPart
+	v = v.WithNumber(m.GetNumber())
+	v = v.WithIndex(m.GetIndex())
+	v = v.WithCount(m.GetCount())
+	v = v.WithContent(string(m.GetContent()))
+	return v
+}
+
+// FeedPartWire returns the message of the immutable value.
+func FeedPartWire(v value.FeedPart) *FeedPart {
+	m := &FeedPart{}
+	m.SetNumber(v.Number())
+	m.SetIndex(v.Index())
+	m.SetCount(v.Count())
+	m.SetContent([]byte(v.Content()))
+	return m
+}
+
+// FeedAnswerValue returns the immutable value of the message.
+func FeedAnswerValue(m *FeedAnswer) value.FeedAnswer {
+	var v value.FeedAnswer
+	v = v.WithAgeMs(m.GetAgeMs())
+	v = v.WithRevision(m.GetRevision())
+	v = v.WithGap(m.GetGap())
+	if s := m.GetRecords(); len(s) > 0 {
+		items := make([]value.FeedRecord, len(s))
+		for i := range s {
+			items[i] = FeedRecordValue(s[i])
+		}
+		v = v.WithRecords(value.ListOf(items...))
+	}
+	return v
+}
+
+// FeedAnswerWire returns the message of the immutable value.
+func FeedAnswerWire(v value.FeedAnswer) *FeedAnswer {
+	m := &FeedAnswer{}
+	m.SetAgeMs(v.AgeMs())
+	m.SetRevision(v.Revision())
+	m.SetGap(v.Gap())
+	if v.Records().Len() > 0 {
+		items := make([]*FeedRecord, 0, v.Records().Len())
+		for x := range v.Records().All() {
+			items = append(items, FeedRecordWire(x))
+		}
+		m.SetRecords(items)
+	}
+	return m
+}
+
+// FeedRecordValue returns the immutable value of the message.
+func FeedRecordValue(m *FeedRecord) value.FeedRecord {
+	var v value.FeedRecord
+	v = v.WithKey(m.GetKey())
+	v = v.WithRevision(m.GetRevision())
+	switch m.WhichBody() {
+	case FeedRecord_Table_case:
+		v = v.WithBody(RouteTableValue(m.GetTable()))
+	case FeedRecord_Server_case:
+		v = v.WithBody(BackendServerValue(m.GetServer()))
+	case FeedRecord_Gone_case:
+		v = v.WithBody(FeedGoneValue(m.GetGone()))
+	case FeedRecord_Unreadable_case:
+		v = v.WithBody(FeedUnreadableValue(m.GetUnreadable()))
+	case FeedRecord_Other_case:
+		v = v.WithBody(FeedOtherValue(m.GetOther()))
+	}
+	return v
+}
+
+// FeedRecordWire returns the message of the immutable value.
+func FeedRecordWire(v value.FeedRecord) *FeedRecord {
+	m := &FeedRecord{}
+	m.SetKey(v.Key())
+	m.SetRevision(v.Revision())
+	switch b := v.Body().(type) {
+	case value.RouteTable:
+		m.SetTable(RouteTableWire(b))
+	case value.BackendServer:
+		m.SetServer(BackendServerWire(b))
+	case value.FeedGone:
+		m.SetGone(FeedGoneWire(b))
+	case value.FeedUnreadable:
+		m.SetUnreadable(FeedUnreadableWire(b))
+	case value.FeedOther:
+		m.SetOther(FeedOtherWire(b))
+	}
+	return m
+}
+
+// FeedGoneValue returns the immutable value of the message.
+func FeedGoneValue(m *FeedGone) value.FeedGone {
+	var v value.FeedGone
+	return v
+}
+
+// FeedGoneWire returns the message of the immutable value.
+func FeedGoneWire(v value.FeedGone) *FeedGone {
+	m := &FeedGone{}
+	return m
+}
+
+// FeedUnreadableValue returns the immutable value of the message.
+func FeedUnreadableValue(m *FeedUnreadable) value.FeedUnreadable {
+	var v value.FeedUnreadable
+	v = v.WithWhy(m.GetWhy())
+	return v
+}
+
+// FeedUnreadableWire returns the message of the immutable value.
+func FeedUnreadableWire(v value.FeedUnreadable) *FeedUnreadable {
+	m := &FeedUnreadable{}
+	m.SetWhy(v.Why())
+	return m
+}
+
+// FeedOtherValue returns the immutable value of the message.
+func FeedOtherValue(m *FeedOther) value.FeedOther {
+	var v value.FeedOther
+	return v
+}
+
+// FeedOtherWire returns the message of the immutable value.
+func FeedOtherWire(v value.FeedOther) *FeedOther {
+	m := &FeedOther{}
+	return m
+}
+
+// FeedHintValue returns the immutable value of the message.
+func FeedHintValue(m *FeedHint) value.FeedHint {
+	var v value.FeedHint
+	v = v.WithRevision(m.GetRevision())
+	return v
+}
+
+// FeedHintWire returns the message of the immutable value.
+func FeedHintWire(v value.FeedHint) *FeedHint {
+	m := &FeedHint{}
+	m.SetRevision(v.Revision())
+	return m
+}
