Count the wait for a slot when a server is full

Cause: engines with 12 slots got more requests than they run at once while others had room; the cost of a server ignored its slots. Change: each request beyond the slots costs 60 ms.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -72,6 +72,9 @@
 	} else {
 		c = slow*((x.ahead(w.Rank())+recentWeight*x.recent(now)+float64(fresh))/readRate+c*runCost) + wasteWeight*float64(waste)/readRate
 	}
+	if over := x.runs.Len() + 1 - int(x.entry.Slots()); over > 0 && x.entry.Slots() > 0 {
+		c += float64(over) * slotCost
+	}
 	if x.entry.Datacentre() != w.Datacentre() {
 		c += remoteCost
 	}
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -22,6 +22,8 @@
 	runCost = 2
 	// plainCost scales the load of a plain service to milliseconds.
 	plainCost = 60
+	// slotCost is the wait for a slot behind each request that exceeds those that a server runs at once, in milliseconds.
+	slotCost = 60
 	// remoteCost is the round trip to another data centre plus the price of its link, in milliseconds.
 	remoteCost = 5
 	// coldShift divides the time for which a server stays slow, as a power of two.
