--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -15,6 +15,17 @@
 	"chicoryhoist.example/hoist/wire"
 )
 
+// renderForward returns the findings of the settings of a forwarding router, or all its settings with their defaults.
+func renderForward(input string) string {
+	s, findings := ParseForwardSettings("in.toml", []byte(input))
+	if len(findings) > 0 {
+		return findings.Error() + "\n"
+	}
+	var b bytes.Buffer
+	formatTable(&b, "", wire.ForwardSettingsWire(s).ProtoReflect())
+	return b.String()
+}
+
 // render returns the findings, or the canonical content with its digest.
 func render(input string) string {
 	s, findings := ParseSnapshot("in.toml", []byte(input))
@@ -50,6 +61,13 @@
 		})
 	}
 
+	// Guards against settings of the forwarding router that are accepted and cannot work, and defaults that change unseen.
+	for _, c := range golden.Cases("testdata/forward") {
+		ginkgo.It("reads forwarding settings: "+c.Name, func() {
+			gomega.Expect(renderForward(c.Input)).To(golden.Match(c.Path))
+		})
+	}
+
 	// Guards against a canonical form that loses or alters a key on the way through the parser.
 	ginkgo.It("reads its own canonical form back", func() {
 		in, err := os.ReadFile("testdata/snapshot/whole.in")
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -76,7 +76,8 @@
 
 	// Guards against metrics that operators look for in vain, and against new ones that no page explains.
 	It("name the metrics that exist", func() {
-		exist := lo.Map(matches(`(?:histogram|counter|Gauge|Counter)\("(\w+)"|Name: "(\w+)"`, "../metric/metric.go", "../router/router.go"),
+		exist := lo.Map(matches(`(?:histogram|counter|Gauge|Counter|Value)\("(\w+)"|Name: "(\w+)"`,
+			"../metric/metric.go", "../router/router.go", "../relay/metrics.go", "../carry/carry.go"),
 			func(name string, _ int) string { return "hoist_" + name })
 		Expect(exist).NotTo(BeEmpty())
 		for _, name := range exist {
@@ -106,8 +107,8 @@
 
 	// Guards against settings that a page names and no router reads.
 	It("name the settings that exist", func() {
-		exist := keys((&wire.Settings{}).ProtoReflect().Descriptor(), "")
-		key := regexp.MustCompile("`((?:listen|platform|input|timing)\\.\\w+)`")
+		exist := append(keys((&wire.Settings{}).ProtoReflect().Descriptor(), ""), keys((&wire.ForwardSettings{}).ProtoReflect().Descriptor(), "")...)
+		key := regexp.MustCompile("`((?:listen|platform|input|timing|store|peers|resources|bounds|retries)\\.\\w+)`")
 		for path, text := range pages() {
 			for _, m := range key.FindAllStringSubmatch(text, -1) {
 				Expect(exist).To(ContainElement(m[1]), path)
