Keep what exceeds the slots of plain services at the owner

Cause: with no bound on engines, the owner's queue held nothing, and plain services got more than they work on, in the order of arrival. Change: a server of a plain service holds twice its slots; the rest waits at the owner by rank.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -17,7 +17,7 @@
 			if x.entry.Leaving() || avoided(w, x.entry.Id()) || (x.shunned > now) != (shunned == 1) {
 				continue
 			}
-			if !s.rules.admits(x, w) {
+			if !admits(x, w) {
 				continue
 			}
 			fresh, waste := s.uncached(w, x, now)
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -22,6 +22,8 @@
 	runCost = 2
 	// plainCost scales the load of a plain service to milliseconds.
 	plainCost = 60
+	// plainFactor is the number of requests for each slot that a server of a plain service holds at once; the second one keeps the slot busy while the first answer travels.
+	plainFactor = 2
 	// slotCost is the wait for a slot behind each request that exceeds those that a server runs at once, in milliseconds.
 	slotCost = 60
 	// remoteCost is the round trip to another data centre plus the price of its link, in milliseconds.
@@ -50,34 +52,21 @@
 	comebackPart = 8
 )
 
-// Rules are the limits of admission to a server.
-type Rules struct {
-	// Unread bounds the prompt tokens that a server has still to compute, by rank, for a request to be sent there;
-	// higher ranks than listed have the last bound.
-	Unread value.List[int64]
-}
-
-// DefaultRules returns the rules of a deployment without settings of its own.
-func DefaultRules() Rules {
-	return Rules{Unread: value.ListOf[int64](1<<40, 1<<40, 1<<40)}
-}
-
-// unread returns the bound on prompt tokens for a rank.
-func (r Rules) unread(rank int32) int64 {
-	return r.Unread.At(min(int(max(rank, 0)), r.Unread.Len()-1))
-}
-
 // admits reports whether the server may take the request now.
-func (r Rules) admits(x server, w value.Work) bool {
-	return w.Parts().Len() == 0 || x.unread() < r.unread(w.Rank())
+//
+// Engines take every request: they order what they have not begun by urgency, and keeping requests back costs more
+// than it saves. A plain service works in the order of arrival, so what exceeds its slots waits here by rank, and goes
+// to whichever server is free first.
+func admits(x server, w value.Work) bool {
+	return w.Parts().Len() > 0 || x.entry.Slots() == 0 || x.runs.Len() < plainFactor*int(x.entry.Slots())
 }
 
 // patience returns the time at which a request that found no server is refused.
-func (r Rules) patience(w value.Work) hoist.Millis {
+func patience(w value.Work) hoist.Millis {
 	return max(hoist.Millis(w.EndMs())-runTime, hoist.Millis(w.ArrivedMs()))
 }
 
 // comeback returns the time after which a refused caller should try again.
-func (r Rules) comeback(w value.Work, now hoist.Millis) hoist.Millis {
+func comeback(w value.Work, now hoist.Millis) hoist.Millis {
 	return max(hoist.Millis(w.EndMs())-now, 0) / comebackPart
 }
--- a/assign/script_test.go
+++ b/assign/script_test.go
@@ -114,7 +114,7 @@
 // A changed effect sends a request to a server that is leaving, failing or loaded while a better one is there, forgets
 // or doubles a request, or refuses one that could run.
 var _ = DescribeTable("scripts", func(c golden.Case) {
-	s := assign.New(assign.DefaultRules())
+	s := assign.New()
 	Expect(golden.Play(c.Input, func(l golden.Line) string {
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
--- a/assign/state.go
+++ b/assign/state.go
@@ -10,7 +10,6 @@
 
 // State is the immutable state of one shard: its servers, what runs there, and the requests that wait.
 type State struct {
-	rules   Rules
 	servers value.List[server]
 	// waiting holds the requests without a server, the highest rank first and the oldest first inside a rank.
 	waiting value.List[value.Work]
@@ -18,7 +17,7 @@
 }
 
 // New returns the state of a shard without servers.
-func New(r Rules) State { return State{rules: r, parts: newParts()} }
+func New() State { return State{parts: newParts()} }
 
 // Waiting returns the number of requests that wait.
 func (s State) Waiting() int { return s.waiting.Len() }
@@ -253,8 +252,8 @@
 		case at >= 0:
 			effects = append(effects, Grant{w.Id(), w.Origin(), s.servers.At(at).entry, basis})
 			s = s.withPlaced(at, run{work: w, fresh: basis.Fresh, placed: now}, now)
-		case now >= s.rules.patience(w) || !s.usable(w):
-			effects = append(effects, Refuse{w.Id(), w.Origin(), s.rules.comeback(w, now), s.reason(w)})
+		case now >= patience(w) || !s.usable(w):
+			effects = append(effects, Refuse{w.Id(), w.Origin(), comeback(w, now), s.reason(w)})
 		default:
 			i++
 			continue
--- a/relay/service.go
+++ b/relay/service.go
@@ -88,7 +88,7 @@
 		shard: shard, self: r.Settings.Name(), clock: r.Clock, log: r.Log, mesh: r.Mesh,
 		inbox: make(chan assign.Event, deskInbox), replies: &r.replies, ended: r.ctx.Done(),
 	}
-	s := assign.New(assign.DefaultRules())
+	s := assign.New()
 	d.state.Store(&s)
 	owner := ""
 	if v := r.members.Load(); v != nil {
