Soak forwarding routers as processes under random faults

Cause: no run of the project's own drove the real programs under overlapping kills, pauses, stops, store outages and failing servers. Change: 'standin soak' starts routers as processes on loopback, injects faults by signals and in the stand-ins, and checks whole and own answers, requests that run at most once, honest refusals, withdrawn keys, planned stops within the grace time, and service after the last fault. Ruled out as a fault of the router: processes that did not end within their grace time in the first runs; the soak had waited for, and killed, a process that it had just started.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # The short proof leaves out the scenarios that wait longest; it takes less than 90 s.
 SHORT := stop kill engines poison frames publish partition
 
-.PHONY: demo test race bench soak capacity proof proof-short cost generate format lint vet build
+.PHONY: demo test race bench soak soak-processes capacity proof proof-short cost generate format lint vet build
 
 build:
 	mkdir -p bin
@@ -26,6 +26,10 @@
 soak:
 	go run ./cmd/hoistbench soak --seed $(SEED) --duration $(DURATION)
 
+# Runs forwarding routers as processes on loopback under random faults.
+soak-processes: build
+	bin/standin soak --router bin/chicoryhoist --seed $(SEED) --duration $(DURATION)s
+
 capacity:
 	go run ./cmd/hoistbench capacity
 
--- /dev/null
+++ b/cmd/standin/chaos/caller.go
@@ -0,0 +1,113 @@
+package chaos
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"chicoryhoist.example/hoist/cmd/standin/fakbe"
+)
+
+// refusedPause is the time that a caller waits after a request that was not served.
+const refusedPause = 20 * time.Millisecond
+
+// kinds are the kinds of requests by the first letter of their ids.
+var kinds = []struct{ letter, method, host, path string }{
+	{"s", http.MethodPost, "a.example", "/stream/x"},
+	{"f", http.MethodPost, "b.example", "/stream/x"},
+	{"o", http.MethodPost, "a.example", "/once/x"},
+	{"r", http.MethodGet, "a.example", "/read/x"},
+}
+
+// call sends requests over connections that stay open until ctx ends; in calm every one must be served.
+func (r *run) call(ctx context.Context, caller int) {
+	g := r.random(uint64(caller) + 1)
+	t := &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}
+	defer t.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		k := kinds[g.IntN(len(kinds))]
+		key := "k1"
+		if g.IntN(4) == 0 {
+			key = "k2"
+		}
+		p := r.routers[g.IntN(len(r.routers))]
+		id := fmt.Sprintf("%s-%d-%d", k.letter, caller, n)
+		calm, sent := r.calmed.Load(), time.Now()
+		status, body, broken := send(ctx, t, k.method, p.url+k.path, k.host, id, key)
+		if ctx.Err() != nil {
+			return
+		}
+		r.Requests.Add(1)
+		withdrawn := key == "k2" && r.revoked.Load() > 0
+		r.check(id, status, body, broken)
+		if at := r.revoked.Load(); key == "k2" && at > 0 && sent.UnixMilli() > at+revoke.Milliseconds() && len(r.log.Runs(id)) > 0 {
+			r.violate("request %s ran %d ms after its key was withdrawn", id, sent.UnixMilli()-at)
+		}
+		if status != http.StatusOK {
+			time.Sleep(refusedPause)
+		}
+		if calm && !withdrawn && (status != http.StatusOK || broken) {
+			r.violate("request %s got %d (broken %v) in calm", id, status, broken)
+		}
+	}
+}
+
+// check compares an answer with what the request should get.
+func (r *run) check(id string, status int, body string, broken bool) {
+	want := fakbe.Body(id)
+	if id[0] == 's' || id[0] == 'f' {
+		var b strings.Builder
+		for n := range fakbe.Events {
+			b.WriteString(fakbe.Event(id, n+1))
+		}
+		want = b.String()
+	}
+	switch {
+	case status == http.StatusOK && broken:
+		if !strings.HasPrefix(want, body) {
+			r.violate("request %s got foreign bytes", id)
+		}
+	case status == http.StatusOK:
+		r.Served.Add(1)
+		if body != want {
+			r.violate("request %s got another body: %d of %d bytes", id, len(body), len(want))
+		}
+	case status == http.StatusServiceUnavailable:
+		r.Refused.Add(1)
+		if n := len(r.log.Runs(id)); n > 0 && (id[0] == 'o' || id[0] == 'f') {
+			r.violate("request %s was refused as not run and ran %d times", id, n)
+		}
+	case status == http.StatusNotFound:
+		r.violate("request %s got 404 though its route is published", id)
+	}
+}
+
+// send sends one request.
+func send(ctx context.Context, t *http.Transport, method, url, host, id, key string) (int, string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	var content io.Reader
+	if method == http.MethodPost {
+		content = strings.NewReader("body of " + id)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, url, content)
+	if err != nil {
+		return 0, "", true
+	}
+	// Without GetBody net/http never sends a request a second time by itself.
+	q.GetBody = nil
+	q.Host = host
+	q.Header.Set("Chicoryhoist-Request-Id", id)
+	q.Header.Set("Chicoryhoist-Key", key)
+	q.Header.Set("Chicoryhoist-Deadline-Ms", "4000")
+	resp, err := t.RoundTrip(q)
+	if err != nil {
+		return 0, "", true
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err != nil
+}
--- /dev/null
+++ b/cmd/standin/chaos/fault.go
@@ -0,0 +1,108 @@
+package chaos
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"chicoryhoist.example/hoist/cmd/standin/fakbe"
+	"chicoryhoist.example/hoist/cmd/standin/fakst"
+)
+
+// disturb injects faults until ctx ends, then repairs everything.
+func (r *run) disturb(ctx context.Context) {
+	g := r.random(0)
+	var repairs []func()
+	for ctx.Err() == nil {
+		r.Faults.Add(1)
+		if repair := r.fault(g); repair != nil {
+			// A repair may come late, so that faults overlap.
+			after := time.Duration(200+g.IntN(2500)) * time.Millisecond
+			done := make(chan struct{})
+			repairs = append(repairs, func() { <-done })
+			time.AfterFunc(after, func() {
+				defer close(done)
+				repair()
+			})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(150+g.IntN(900)) * time.Millisecond):
+		}
+	}
+	for _, wait := range repairs {
+		wait()
+	}
+	r.store.SetMode(fakst.Serving)
+	for id := range r.servers {
+		r.servers[id].Fail(fakbe.None, 0)
+		r.enter(id, "ready")
+	}
+}
+
+// backendFaults are the faults of servers.
+var backendFaults = []fakbe.Fault{fakbe.Refuse, fakbe.Reset, fakbe.Cut, fakbe.Hang, fakbe.Unsealed, fakbe.Error}
+
+// serverNames are the servers that faults hit; one of each service is spared, so that requests can be served.
+var serverNames = []string{"llm-1", "llm-2", "app-1", "app-2"}
+
+// fault injects one fault and returns its repair, or nil.
+func (r *run) fault(g *rand.Rand) func() {
+	p := r.routers[g.IntN(len(r.routers))]
+	server := serverNames[g.IntN(len(serverNames))]
+	switch g.IntN(8) {
+	case 0:
+		return r.stop(p, syscall.SIGKILL)
+	case 1:
+		return r.stop(p, syscall.SIGTERM)
+	case 2:
+		p.pauses.Add(1)
+		p.signal(syscall.SIGSTOP)
+		return func() { p.signal(syscall.SIGCONT) }
+	case 3:
+		r.store.SetMode([]fakst.Mode{fakst.Refusing, fakst.Silent}[g.IntN(2)])
+		return func() { r.store.SetMode(fakst.Serving) }
+	case 4:
+		r.store.Compact()
+		p.signal(syscall.SIGHUP)
+		return nil
+	case 5:
+		r.enter(server, "draining")
+		return func() { r.enter(server, "ready") }
+	case 6:
+		if r.revoked.CompareAndSwap(0, time.Now().UnixMilli()) {
+			r.publish(`"k1"`)
+		}
+		return nil
+	default:
+		r.servers[server].Fail(backendFaults[g.IntN(len(backendFaults))], 1+g.IntN(5))
+		return nil
+	}
+}
+
+// stop ends a process that is not already ending, and returns its restart.
+func (r *run) stop(p *process, s syscall.Signal) func() {
+	if !p.down.CompareAndSwap(false, true) {
+		return nil
+	}
+	p.signalled = time.Now()
+	pauses := p.pauses.Load()
+	p.signal(s)
+	return func() { r.restart(p, pauses) }
+}
+
+// restart waits for the end of a process, kills it after the grace time, and starts it again; a process that was paused
+// in between may take longer.
+func (r *run) restart(p *process, pauses int64) {
+	p.signal(syscall.SIGCONT)
+	kill := time.AfterFunc(grace-time.Since(p.signalled), func() { p.signal(syscall.SIGKILL) })
+	_ = p.cmd.Wait() // The exit code says nothing here.
+	if !kill.Stop() && p.pauses.Load() == pauses {
+		r.violate("process of %s did not end within its grace time", p.url)
+	}
+	if err := p.start(r.Router); err != nil {
+		r.violate("%v", err)
+	}
+	p.down.Store(false)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,15 +4,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"os"
 	"os/signal"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/cmd/standin/chaos"
 	"chicoryhoist.example/hoist/cmd/standin/demo"
 	"chicoryhoist.example/hoist/cmd/standin/fakeng"
 	"chicoryhoist.example/hoist/cmd/standin/fakplt"
@@ -27,6 +31,7 @@
 	Service  serviceCommand  `command:"service" description:"run a plain service"`
 	Platform platformCommand `command:"platform" description:"run the platform"`
 	Load     loadCommand     `command:"load" description:"drive routers and check every answer"`
+	Soak     soakCommand     `command:"soak" description:"run forwarding routers under random faults and check their promises"`
 	Demo     demoCommand     `command:"demo" description:"start a fleet on loopback and drive it"`
 }
 
@@ -160,3 +165,34 @@
 	}
 	return demo.Run(ctx, os.Stdout, program, c.Router, hoist.NewSystemClock())
 }
+
+type soakCommand struct {
+	Router    string        `long:"router" required:"true" description:"router program"`
+	Instances int           `long:"instances" default:"4" description:"router processes"`
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     uint64        `long:"seeds" default:"1" description:"seeds to play"`
+	Duration  time.Duration `long:"duration" default:"15s" description:"time with faults for each seed"`
+}
+
+// Execute plays the seeds and fails when a promise was broken.
+func (c *soakCommand) Execute([]string) error {
+	ctx, stop := interrupted()
+	defer stop()
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
+		r, err := chaos.Run(ctx, chaos.Options{Router: c.Router, Instances: c.Instances, Seed: seed, Duration: c.Duration})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d faults, %d violations\n",
+			seed, r.Requests.Load(), r.Served.Load(), r.Refused.Load(), r.Faults.Load(), len(r.Violations()))
+		for _, v := range r.Violations() {
+			fmt.Println("  " + v)
+		}
+		broken += len(r.Violations())
+	}
+	if broken > 0 {
+		return eris.New("promises were broken")
+	}
+	return nil
+}
