Divide the slack of repeats among the live instances

Cause: each instance could repeat three requests at once, which 71 instances together take beyond the slack of 182; and three settings were read by nothing. Change: the burst is half of the slack divided by the live instances, at least one. The unused settings are gone, and the events of membership changes are named in one place for both kinds of router.

--- /dev/null
+++ b/member/notice.go
@@ -0,0 +1,19 @@
+package member
+
+import "chicoryhoist.example/hoist/event"
+
+// codes maps the changes of membership to numbered events.
+var codes = map[Notice]event.Code{
+	NoticeJoined:    event.Joined,
+	NoticeFailed:    event.Failed,
+	NoticeLeaving:   event.Leaving,
+	NoticeRestarted: event.Joined,
+	NoticePaused:    event.Paused,
+	NoticeRefreshed: event.Refreshed,
+	NoticeDeparted:  event.Leaving,
+	NoticeConflict:  event.Conflict,
+	NoticeReplaced:  event.Replaced,
+}
+
+// Event returns the numbered event that reports the change.
+func (n Notice) Event() event.Code { return codes[n] }
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -39,24 +39,11 @@
 		case member.Deliver:
 			m.Deliver(x.Items)
 		case member.Log:
-			m.Log.Write(notices[x.Notice], logrus.Fields{"name": x.Name, "incarnation": x.Incarnation})
+			m.Log.Write(x.Notice.Event(), logrus.Fields{"name": x.Name, "incarnation": x.Incarnation})
 		}
 	}
 }
 
-// notices maps the changes of membership to numbered events.
-var notices = map[member.Notice]event.Code{
-	member.NoticeJoined:    event.Joined,
-	member.NoticeFailed:    event.Failed,
-	member.NoticeLeaving:   event.Leaving,
-	member.NoticeRestarted: event.Joined,
-	member.NoticePaused:    event.Paused,
-	member.NoticeRefreshed: event.Refreshed,
-	member.NoticeDeparted:  event.Leaving,
-	member.NoticeConflict:  event.Conflict,
-	member.NoticeReplaced:  event.Replaced,
-}
-
 // renew begins again under a higher incarnation when a peer remembers an earlier process of this instance with a
 // higher one, which happens when the time of day has been set back.
 func (m *Mesh) renew(g value.Gossip) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,8 +24,10 @@
 const (
 	// DefaultPatience is the time that a caller waits who doesn't say.
 	DefaultPatience = 60 * hoist.Second
-	// budgetBurst is the number of repeats that one instance may make at once; the slack of the deployment covers it for every instance together.
-	budgetBurst = 3
+	// burstMost bounds the repeats that one instance may make at once.
+	burstMost = 8
+	// burstPart is the part of the deployment's slack that the bursts of all instances take together; the rest covers instances that do not know of each other.
+	burstPart = 2
 	// budgetShare is the part of the fleet's share of repeats that requests earn, in tenths; the rest covers uneven windows.
 	budgetShare = 8
 	// keyAgeTenths is the part of the revocation bound up to which a proof counts, in tenths; the rest covers a watch that hears nothing for a moment and the way of a request to its server.
--- a/relay/service.go
+++ b/relay/service.go
@@ -61,7 +61,7 @@
 	s := old
 	if s == nil || len(s.desks) != n {
 		s = &service{}
-		b := retry.NewBucket(budgetBurst, budgetBurst)
+		b := retry.NewBucket(r.burst(), r.burst())
 		s.budget.Store(&b)
 		if old != nil {
 			s.budget.Store(old.budget.Load())
@@ -82,6 +82,15 @@
 	return s
 }
 
+// burst returns the number of repeats that this instance may make at once: its part of the slack among the live instances.
+func (r *Relay) burst() int64 {
+	members := 1
+	if v := r.members.Load(); v != nil {
+		members = len(v.Members())
+	}
+	return min(max(r.Settings.Retries().Slack()/int64(burstPart*members), 1), burstMost)
+}
+
 // newDesk returns a running desk.
 func (r *Relay) newDesk(shard string) *desk {
 	d := &desk{
@@ -155,6 +164,7 @@
 		}
 	}
 	for _, s := range *r.services.Load() {
+		hoist.Update(&s.budget, func(b retry.Bucket) retry.Bucket { return b.WithBound(r.burst()) })
 		for _, d := range s.desks {
 			d.own(ownerOf(v, d.shard))
 			for _, n := range vanished {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -283,22 +283,9 @@
 	f.backlogs.Store(&backlogs)
 }
 
-// notices maps the changes of membership to numbered events.
-var notices = map[member.Notice]event.Code{
-	member.NoticeJoined:    event.Joined,
-	member.NoticeFailed:    event.Failed,
-	member.NoticeLeaving:   event.Leaving,
-	member.NoticeRestarted: event.Joined,
-	member.NoticePaused:    event.Paused,
-	member.NoticeRefreshed: event.Refreshed,
-	member.NoticeDeparted:  event.Leaving,
-	member.NoticeConflict:  event.Conflict,
-	member.NoticeReplaced:  event.Replaced,
-}
-
 // note logs a change of membership.
 func (f *fleet) note(x member.Log) {
-	f.log.Write(notices[x.Notice], logrus.Fields{"name": x.Name, "incarnation": x.Incarnation})
+	f.log.Write(x.Notice.Event(), logrus.Fields{"name": x.Name, "incarnation": x.Incarnation})
 }
 
 // listed takes over a new instance list.
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -170,9 +170,8 @@
 
 // ForwardResources bound what the process may use.
 type ForwardResources struct {
-	memoryMib   int64
-	cores       int64
-	descriptors int64
+	memoryMib int64
+	cores     int64
 }
 
 // MemoryMib returns the field's value. Memory, in mebibytes; default 128.
@@ -193,21 +192,10 @@
 	return f
 }
 
-// Descriptors returns the field's value. File descriptors; default 1024.
-func (f ForwardResources) Descriptors() int64 { return f.descriptors }
-
-// WithDescriptors returns a copy with the field replaced.
-func (f ForwardResources) WithDescriptors(v int64) ForwardResources {
-	f.descriptors = v
-	return f
-}
-
 // ForwardBounds are the time bounds that the deployment promises.
 type ForwardBounds struct {
 	graceMs  int64
 	revokeMs int64
-	leaveMs  int64
-	renewMs  int64
 }
 
 // GraceMs returns the field's value. Time from SIGTERM to SIGKILL, in milliseconds; default 8000.
@@ -228,24 +216,6 @@
 	return f
 }
 
-// LeaveMs returns the field's value. Time for which a leaving backend server still takes work, in milliseconds; default 2000.
-func (f ForwardBounds) LeaveMs() int64 { return f.leaveMs }
-
-// WithLeaveMs returns a copy with the field replaced.
-func (f ForwardBounds) WithLeaveMs(v int64) ForwardBounds {
-	f.leaveMs = v
-	return f
-}
-
-// RenewMs returns the field's value. Interval at which backend servers renew their entries, in milliseconds; default 1200.
-func (f ForwardBounds) RenewMs() int64 { return f.renewMs }
-
-// WithRenewMs returns a copy with the field replaced.
-func (f ForwardBounds) WithRenewMs(v int64) ForwardBounds {
-	f.renewMs = v
-	return f
-}
-
 // ForwardRetries bound the attempts beyond the first of each request.
 type ForwardRetries struct {
 	permille int64
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -127,7 +127,6 @@
 	var v value.ForwardResources
 	v = v.WithMemoryMib(m.GetMemoryMib())
 	v = v.WithCores(m.GetCores())
-	v = v.WithDescriptors(m.GetDescriptors())
 	return v
 }
 
@@ -136,7 +135,6 @@
 	m := &ForwardResources{}
 	m.SetMemoryMib(v.MemoryMib())
 	m.SetCores(v.Cores())
-	m.SetDescriptors(v.Descriptors())
 	return m
 }
 
@@ -145,8 +143,6 @@
 	var v value.ForwardBounds
 	v = v.WithGraceMs(m.GetGraceMs())
 	v = v.WithRevokeMs(m.GetRevokeMs())
-	v = v.WithLeaveMs(m.GetLeaveMs())
-	v = v.WithRenewMs(m.GetRenewMs())
 	return v
 }
 
@@ -155,8 +151,6 @@
 	m := &ForwardBounds{}
 	m.SetGraceMs(v.GraceMs())
 	m.SetRevokeMs(v.RevokeMs())
-	m.SetLeaveMs(v.LeaveMs())
-	m.SetRenewMs(v.RenewMs())
 	return m
 }
 
