--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 MODULES := ./... ./cmd/chicoryhoist/... ./cmd/hoistbench/... ./cmd/hoistctl/... ./cmd/hoistgen/... ./cmd/standin/...
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
-RACE := ./gate/... ./shard/... ./peer/... ./engine/... ./router/... ./invar/... ./front/...
+RACE := ./gate/... ./shard/... ./peer/... ./engine/... ./router/... ./invar/... ./front/... ./relay/... ./feed/... ./mesh/... \
+	./uplink/... ./edge/... ./carry/... ./cmd/standin/whole/...
 SEED ?= 1
 DURATION ?= 60
 # The short proof leaves out the scenarios that wait longest; it takes less than 90 s.
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -66,7 +66,5 @@
 	return max(hoist.Millis(w.EndMs())-runTime, hoist.Millis(w.ArrivedMs()))
 }
 
-// comeback returns the time after which a refused caller should try again.
-func comeback(w value.Work, now hoist.Millis) hoist.Millis {
-	return max(hoist.Millis(w.EndMs())-now, 0) / comebackPart
-}
+// Comeback returns the time after which a refused caller should try again, when its patience ends at the given time.
+func Comeback(end, now hoist.Millis) hoist.Millis { return max(end-now, 0) / comebackPart }
--- a/assign/state.go
+++ b/assign/state.go
@@ -253,7 +253,7 @@
 			effects = append(effects, Grant{w.Id(), w.Origin(), s.servers.At(at).entry, basis})
 			s = s.withPlaced(at, run{work: w, fresh: basis.Fresh, placed: now}, now)
 		case now >= patience(w) || !s.usable(w):
-			effects = append(effects, Refuse{w.Id(), w.Origin(), comeback(w, now), s.reason(w)})
+			effects = append(effects, Refuse{w.Id(), w.Origin(), Comeback(hoist.Millis(w.EndMs()), now), s.reason(w)})
 		default:
 			i++
 			continue
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,83 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/event"
+	"chicoryhoist.example/hoist/member"
+	"chicoryhoist.example/hoist/mesh"
+	"chicoryhoist.example/hoist/value"
+)
+
+func TestMesh(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mesh")
+}
+
+// port returns a free port that every address of loopback has.
+func port() int {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 2, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
+// start starts the instance with the number; the first instance is the only seed.
+func start(ctx context.Context, number, port int, receive func(string, mesh.Body)) *mesh.Mesh {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := value.ForwardSettings{}.WithName(fmt.Sprint("n", number)).WithRegion("r").WithDatacentre(fmt.Sprint("x", number%2)).
+		WithPeers(value.ForwardPeers{}.WithAddress(fmt.Sprintf("127.2.0.%d:%d", number, port)).WithSeeds(value.ListOf("127.2.0.1:1")))
+	m, err := mesh.New(mesh.Options{
+		Clock: hoist.NewBootClock(), Log: event.NewLog(logger), Settings: s,
+		Receive: func(sender string, _ netip.AddrPort, b mesh.Body) { receive(sender, b) },
+		Deliver: func([]value.Item) {},
+		Changed: func(_, _ *member.View) {},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	go m.Run(ctx)
+	return m
+}
+
+// size returns the number of live instances in a view.
+func size(m *mesh.Mesh) func() int { return func() int { return len(m.View().Members()) } }
+
+var _ = Describe("instances", func() {
+	// Guards against instances that never meet, messages that don't arrive, and one that stays in view after its end.
+	It("find each other through one seed and notice an end", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		p := port()
+		got := make(chan string, 1)
+		ignore := func(string, mesh.Body) {}
+		first := start(ctx, 1, p, func(sender string, b mesh.Body) {
+			if n, ok := b.(value.PlaceNote); ok {
+				got <- sender + " " + n.Shard()
+			}
+		})
+		var others []*mesh.Mesh
+		for i := 2; i <= 4; i++ {
+			others = append(others, start(ctx, i, p, ignore))
+		}
+		last, end := context.WithCancel(ctx)
+		others = append(others, start(last, 5, p, ignore))
+		for _, m := range append(others, first) {
+			Eventually(size(m)).WithTimeout(20 * time.Second).Should(Equal(5))
+		}
+		others[0].SendTo("n1", value.PlaceNote{}.WithShard("s"))
+		Eventually(got).Should(Receive(Equal("n2 s")))
+		end()
+		Eventually(size(first)).WithTimeout(20 * time.Second).Should(Equal(4))
+	})
+})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -257,8 +257,7 @@
 		j.caller.Start(j.failed.status, j.failed.header, int64(len(j.failed.body)))
 		_ = j.caller.Write(j.failed.body) // A caller that has left is seen by its context.
 	case Reject:
-		now := j.Clock.Now()
-		j.refuse(Busy{After: max(j.progress.End-now, 0) / comebackPart})
+		j.refuse(Busy{After: assign.Comeback(j.progress.End, j.Clock.Now())})
 	case Fail:
 		j.refuse(Broken{})
 	case TimeOut:
@@ -272,9 +271,6 @@
 	}
 }
 
-// comebackPart divides the time that is left for a refused caller, so that a second attempt still has time to run.
-const comebackPart = 8
-
 // refuse answers with an error of the router's own.
 func (j *job) refuse(f Fault) {
 	j.reason = FaultName(f)
