Handle SIGHUP from the first statement on

Change: the handler is installed first. The soak sends no SIGHUP in the first 500 ms of a process, in which the runtime itself would still end it.

--- a/cmd/chicoryhoist/main.go
+++ b/cmd/chicoryhoist/main.go
@@ -41,6 +41,10 @@
 
 // run runs the program and returns its exit code.
 func run(args []string) int {
+	// Without a handler, a SIGHUP that comes while the program starts would end it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.SubcommandsOptional = true
@@ -74,7 +78,7 @@
 		if len(findings) > 0 || o.Forward.Check {
 			return report(findings)
 		}
-		return exit(forward(ctx, o.Settings, settings, logger))
+		return exit(forward(ctx, o.Settings, settings, logger, reload))
 	}
 	settings, findings := config.ParseSettings(o.Settings, content)
 	if len(findings) > 0 {
@@ -106,7 +110,7 @@
 }
 
 // forward runs a forwarding router on the platform.
-func forward(ctx context.Context, file string, s value.ForwardSettings, logger *logrus.Logger) error {
+func forward(ctx context.Context, file string, s value.ForwardSettings, logger *logrus.Logger, reload <-chan os.Signal) error {
 	carry.Tune(s.Resources())
 	p, err := carry.New(carry.Options{
 		Settings: s, Logger: logger, Source: platform.NewStore(s.Store().Address()), Dialect: platform.Dialect(),
@@ -114,9 +118,6 @@
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	go p.Reload(ctx, reload, file)
 	return p.Run(ctx)
 }
--- a/cmd/standin/chaos/chaos.go
+++ b/cmd/standin/chaos/chaos.go
@@ -31,6 +31,9 @@
 	callers = 8
 	// calm is the time without faults in which every request must be served.
 	calm = 3 * time.Second
+	// startTime is the time from the start of a process to its first statement at most; a SIGHUP before that ends it,
+	// and the platform starts it again.
+	startTime = 500 * time.Millisecond
 	// settle is the time after the last fault within which every request must be served again.
 	settle = 8 * time.Second
 )
@@ -91,6 +94,8 @@
 	// down is set from a signal that ends the process until it has started again; signalled is the time of that signal.
 	down      atomic.Bool
 	signalled time.Time
+	// started is the time of the last start.
+	started time.Time
 	// pauses counts the times for which the process was stopped.
 	pauses atomic.Int64
 }
@@ -230,9 +235,17 @@
 	defer p.mu.Unlock()
 	p.cmd = exec.Command(router, "forward", "--settings", p.file)
 	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
+	p.started = time.Now()
 	return eris.Wrap(p.cmd.Start(), "start router")
 }
 
+// running reports whether the process has had time to install its signal handlers.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.started) > startTime
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/cmd/standin/chaos/fault.go
+++ b/cmd/standin/chaos/fault.go
@@ -65,7 +65,9 @@
 		return func() { r.store.SetMode(fakst.Serving) }
 	case 4:
 		r.store.Compact()
-		p.signal(syscall.SIGHUP)
+		if p.running() {
+			p.signal(syscall.SIGHUP)
+		}
 		return nil
 	case 5:
 		r.enter(server, "draining")
