relay: Copy the header of a stream once

Cause: the header of an answer was copied for each event of a stream and used for the first one only, and the body of every request was hashed although no content was suspected. Change: the header is copied when the answer begins; bodies are hashed only while some content is suspected. Behaviour is the same.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -190,16 +190,15 @@
 	if err != nil {
 		return j.lost(ctx, err)
 	}
-	header := passed(a.Header)
 	if a.Status/100 == 5 && len(body) < wholeBytes {
-		j.failed = &answer{a.Status, header, body}
+		j.failed = &answer{a.Status, WithoutConnection(a.Header), body}
 		return Failed{}, nil
 	}
 	length := a.Length
 	if len(body) < wholeBytes {
 		length = int64(len(body))
 	}
-	j.begin(a.Status, header, length)
+	j.begin(a.Status, a.Header, length)
 	err = j.caller.Write(body)
 	if err == nil && len(body) == wholeBytes {
 		_, err = io.Copy(writer{j.caller}, a)
@@ -228,7 +227,7 @@
 	}
 	j.progress.Started = true
 	j.first = j.Clock.Now() - j.request.Arrived
-	j.caller.Start(status, header, length)
+	j.caller.Start(status, WithoutConnection(header), length)
 }
 
 // stream passes whole events on as they arrive.
@@ -248,7 +247,7 @@
 		if first {
 			began()
 		}
-		j.begin(a.Status, passed(a.Header), -1)
+		j.begin(a.Status, a.Header, -1)
 		if err := j.caller.Write(e.Data); err != nil {
 			return Left{}, err
 		}
@@ -296,9 +295,6 @@
 	return out
 }
 
-// passed returns the fields of an answer that are passed on.
-func passed(h http.Header) http.Header { return WithoutConnection(h) }
-
 // loadFields is the number of figures of a load report that every server gives.
 const loadFields = 3
 
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -41,10 +41,14 @@
 	return d.Sum64() | 1
 }
 
-// isolated returns the time for which the content is refused.
-func (g *guard) isolated(f uint64) (hoist.Millis, bool) {
+// isolated returns the time for which the content of the request is refused; bodies are only hashed while some content is suspected.
+func (g *guard) isolated(r Request) (hoist.Millis, bool) {
+	suspects := g.suspects.Load()
+	if suspects.Len() == 0 {
+		return 0, false
+	}
 	now := g.wall.Now()
-	q, ok := g.suspects.Load().Standing(f, now).(retry.Quarantined)
+	q, ok := suspects.Standing(fingerprint(r), now).(retry.Quarantined)
 	return q.Until - now, ok
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -156,7 +156,7 @@
 			return Unproved{After: proofPause}
 		}
 	}
-	if after, ok := j.guard.isolated(fingerprint(j.request)); ok {
+	if after, ok := j.guard.isolated(j.request); ok {
 		j.Log.Write(event.Isolated, logrus.Fields{"request": j.request.ID, "route": j.route.Name(), "workspace": j.holder.Name()})
 		return Isolated{After: after}
 	}
