Let the instances with the most capacity own shards and read the store

The lists of running requests that every instance sends to each owner twice a second carried the whole requests.

--- a/assign/event.go
+++ b/assign/event.go
@@ -37,12 +37,18 @@
 }
 
 // Placed is a request that runs at a server without having been granted by this state.
-type Placed struct{ Run value.PlaceRun }
+type Placed struct {
+	Run value.PlaceRun
+	// By is the instance that has granted it, or empty.
+	By string
+}
 
 // Held lists all requests of another instance at the servers.
 type Held struct {
 	Origin string
-	Runs   value.List[value.PlaceRun]
+	// Granted are the ids of the requests that this state has granted, and Runs the other requests.
+	Granted value.List[uint64]
+	Runs    value.List[value.PlaceRun]
 }
 
 // Vanished is an instance that is gone, with its requests.
--- a/assign/script_test.go
+++ b/assign/script_test.go
@@ -62,6 +62,15 @@
 	return value.ListOf(list...)
 }
 
+// granted reads the ids of granted requests.
+func granted(l golden.Line) value.List[uint64] {
+	var ids []uint64
+	for _, f := range l.List("granted") {
+		ids = append(ids, uint64(number(f)))
+	}
+	return value.ListOf(ids...)
+}
+
 // results names the results of requests in scripts.
 var results = map[string]assign.Result{
 	"done": assign.Done, "left": assign.Left, "full": assign.Full, "moved": assign.Moved, "failing": assign.Failing, "unreachable": assign.Unreachable,
@@ -84,9 +93,9 @@
 		return assign.Withdrawn{ID: id}
 	case "placed":
 		p := value.PlaceRun{}.WithWork(work(l)).WithServer(l.Text("server")).WithFresh(int32(l.Int("fresh")))
-		return assign.Placed{Run: p}
+		return assign.Placed{Run: p, By: l.Text("by")}
 	case "held":
-		return assign.Held{Origin: l.Text("from"), Runs: runs(l)}
+		return assign.Held{Origin: l.Text("from"), Granted: granted(l), Runs: runs(l)}
 	case "vanished":
 		return assign.Vanished{Origin: l.Text("from")}
 	case "tick":
@@ -116,6 +125,10 @@
 var _ = DescribeTable("scripts", func(c golden.Case) {
 	s := assign.New()
 	Expect(golden.Play(c.Input, func(l golden.Line) string {
+		if l.Verb == "report" {
+			ids, others := s.Holding(l.Text("from"), l.Text("owner"), hoist.Millis(l.Int("at")))
+			return fmt.Sprintf("granted=%d others=%d", ids.Len(), others.Len())
+		}
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
 		var out strings.Builder
--- a/assign/server.go
+++ b/assign/server.go
@@ -15,6 +15,8 @@
 	began bool
 	// placed is the time of the grant.
 	placed hoist.Millis
+	// by is the other instance that has granted the request, or empty.
+	by string
 }
 
 // server is the immutable view of one backend server.
@@ -123,6 +125,17 @@
 	return s
 }
 
+// withoutGrants returns a copy in which no request counts as granted by the instance.
+func (s server) withoutGrants(by string) server {
+	for i := range s.runs.Len() {
+		if r := s.runs.At(i); r.by == by {
+			r.by = ""
+			s.runs = s.runs.With(i, r)
+		}
+	}
+	return s
+}
+
 // unread returns the prompt tokens that are still to be computed at the server.
 func (s server) unread() int64 {
 	var n int64
--- a/assign/state.go
+++ b/assign/state.go
@@ -54,17 +54,23 @@
 	return value.BackendServer{}, false
 }
 
-// Holding returns the requests of the origin at servers; their times are relative to now.
-func (s State) Holding(origin string, now hoist.Millis) value.List[value.PlaceRun] {
-	var runs []value.PlaceRun
+// Holding returns the requests of the origin at servers, as the owner needs to know them: those that it has granted by
+// their ids, the others whole, with times relative to now.
+func (s State) Holding(origin, owner string, now hoist.Millis) (granted value.List[uint64], runs value.List[value.PlaceRun]) {
+	var ids []uint64
+	var others []value.PlaceRun
 	for x := range s.servers.All() {
 		for r := range x.runs.All() {
-			if r.work.Origin() == origin {
-				runs = append(runs, value.PlaceRun{}.WithWork(Relative(r.work, now)).WithServer(x.entry.Id()).WithFresh(r.fresh).WithBegan(r.began))
+			switch {
+			case r.work.Origin() != origin:
+			case r.by == owner:
+				ids = append(ids, r.work.Id())
+			default:
+				others = append(others, value.PlaceRun{}.WithWork(Relative(r.work, now)).WithServer(x.entry.Id()).WithFresh(r.fresh).WithBegan(r.began))
 			}
 		}
 	}
-	return value.ListOf(runs...)
+	return value.ListOf(ids...), value.ListOf(others...)
 }
 
 // Relative returns the request with times relative to now, as they travel between instances.
@@ -98,7 +104,7 @@
 	case Listed:
 		s = s.listed(e.Servers)
 	case Placed:
-		s = s.placed(e.Run, now)
+		s = s.placed(e.Run, e.By, now)
 	case Held:
 		s = s.held(e, now)
 	case Vanished:
@@ -191,12 +197,12 @@
 }
 
 // placed returns a copy in which the request runs at its server.
-func (s State) placed(p value.PlaceRun, now hoist.Millis) State {
+func (s State) placed(p value.PlaceRun, by string, now hoist.Millis) State {
 	s = s.withoutWaiting(p.Work().Id())
 	for i := range s.servers.Len() {
 		x := s.servers.At(i)
 		if x.entry.Id() == p.Server() && x.find(p.Work().Id()) < 0 {
-			return s.withPlaced(i, run{work: p.Work(), fresh: p.Fresh(), began: p.Began(), placed: now}, now)
+			return s.withPlaced(i, run{work: p.Work(), fresh: p.Fresh(), began: p.Began(), placed: now, by: by}, now)
 		}
 	}
 	return s
@@ -215,6 +221,9 @@
 // held returns a copy whose requests of an instance are those that it lists.
 func (s State) held(e Held, now hoist.Millis) State {
 	ids := map[uint64]bool{}
+	for id := range e.Granted.All() {
+		ids[id] = true
+	}
 	for r := range e.Runs.All() {
 		ids[r.Work().Id()] = true
 	}
@@ -222,15 +231,15 @@
 		s.servers = s.servers.With(i, s.servers.At(i).withHeld(e.Origin, ids, now))
 	}
 	for r := range e.Runs.All() {
-		s = s.placed(r.WithWork(Absolute(r.Work(), now)), now)
+		s = s.placed(r.WithWork(Absolute(r.Work(), now)), "", now)
 	}
 	return s
 }
 
-// without returns a copy without the requests of an instance.
+// without returns a copy without the requests of an instance; its grants count as unknown to whoever takes its place.
 func (s State) without(origin string) State {
 	for i := range s.servers.Len() {
-		s.servers = s.servers.With(i, s.servers.At(i).withHeld(origin, nil, hoist.Millis(1)<<62))
+		s.servers = s.servers.With(i, s.servers.At(i).withHeld(origin, nil, hoist.Millis(1)<<62).withoutGrants(origin))
 	}
 	var waiting []value.Work
 	for w := range s.waiting.All() {
--- a/config/scalar.go
+++ b/config/scalar.go
@@ -90,6 +90,10 @@
 		if n.Kind == unstable.String {
 			return d.enum(f, string(n.Data), at)
 		}
+	case protoreflect.DoubleKind:
+		if n.Kind == unstable.Integer || n.Kind == unstable.Float {
+			return d.number(f, string(n.Data), at)
+		}
 	default:
 		if n.Kind == unstable.Integer {
 			return d.integer(f, string(n.Data), at)
@@ -150,6 +154,16 @@
 	}
 }
 
+// number converts an integer or a float to a number that is neither negative nor infinite.
+func (d *decoder) number(f protoreflect.FieldDescriptor, text string, at int32) (protoreflect.Value, bool) {
+	v, err := strconv.ParseFloat(strings.ReplaceAll(text, "_", ""), 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		d.report(at, "%q must be a number from 0, not %s", f.Name(), clip(text))
+		return protoreflect.Value{}, false
+	}
+	return protoreflect.ValueOfFloat64(v), true
+}
+
 // bounds returns the range of an integer field; no setting or configuration key is negative.
 func bounds(k protoreflect.Kind) (low, high int64) {
 	switch k {
@@ -180,6 +194,8 @@
 		return "a string"
 	case protoreflect.BoolKind:
 		return "a boolean"
+	case protoreflect.DoubleKind:
+		return "a number"
 	default:
 		return "an integer"
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -21,6 +21,8 @@
 		case f.IsList():
 		case f.Message() != nil:
 			fillDefaults(m.Mutable(f).Message())
+		case ok && !m.Has(f) && f.Kind() == protoreflect.DoubleKind:
+			m.Set(f, protoreflect.ValueOfFloat64(float64(n)))
 		case ok && !m.Has(f):
 			m.Set(f, protoreflect.ValueOfInt64(n))
 		}
--- a/member/rank.go
+++ b/member/rank.go
@@ -50,6 +50,27 @@
 	return cs[best].member, true
 }
 
+// capablePart divides the greatest capacity: instances below that part of it get no work for the whole fleet, because
+// what arrives at one owner or reader would fill a thin link.
+const capablePart = 2
+
+// Capable returns the members that are not leaving and can carry work for the others.
+func Capable(members []value.Member) []value.Member {
+	var most int64
+	for _, m := range members {
+		if !m.Leaving() {
+			most = max(most, m.Capacity())
+		}
+	}
+	var capable []value.Member
+	for _, m := range members {
+		if !m.Leaving() && m.Capacity()*capablePart >= most {
+			capable = append(capable, m)
+		}
+	}
+	return capable
+}
+
 // Rank returns the names in the order of their rendezvous weight for the key, the greatest first.
 func Rank(names []string, key string) []string {
 	h := xxhash.Sum64String(key)
--- a/member/view.go
+++ b/member/view.go
@@ -77,11 +77,11 @@
 func (v *View) chooseWatcher() string {
 	var near []value.Member
 	for _, m := range v.members {
-		if m.Datacentre() == v.self.Datacentre() && !m.Leaving() {
+		if m.Datacentre() == v.self.Datacentre() {
 			near = append(near, m)
 		}
 	}
-	m, _ := first(candidates(near), watchKey)
+	m, _ := first(candidates(Capable(near)), watchKey)
 	return m.Name()
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -35,6 +35,10 @@
 	syncInterval = 10 * hoist.Second
 	// seedTurns is the number of these requests of which one goes to a seed.
 	seedTurns = 3
+	// coreThousandths and linkThousandths are the capacities of one core and of a link of one megabit per second; the
+	// scarcer of the two bounds what the instance can do for others.
+	coreThousandths = 1000
+	linkThousandths = 10
 	// datagramBytes bounds one datagram.
 	datagramBytes = 64 << 10
 	// inboxSize bounds the datagrams that wait for the goroutine of the membership.
@@ -107,12 +111,17 @@
 func (m *Mesh) begin(incarnation uint64) {
 	s := m.Settings
 	self := value.Member{}.WithName(s.Name()).WithIncarnation(incarnation).WithAddress(s.Peers().Address()).
-		WithRegion(s.Region()).WithDatacentre(s.Datacentre())
+		WithRegion(s.Region()).WithDatacentre(s.Datacentre()).WithCapacity(capacity(s.Resources()))
 	t := value.Timing{}.WithHeartbeatMs(int64(heartbeat)).WithSuspectMs(int64(suspect)).WithPauseMs(int64(pause))
 	m.state = member.New(self, t, m.Clock.Now())
 	m.view.Store(m.state.View())
 }
 
+// capacity returns what the instance can carry, in thousandths of a core.
+func capacity(r value.ForwardResources) int64 {
+	return int64(min(r.CoreShare()*coreThousandths, r.LinkMbps()*linkThousandths))
+}
+
 // View returns the latest view of the live instances.
 func (m *Mesh) View() *member.View { return m.view.Load() }
 
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -133,8 +133,8 @@
 // report lists the own requests to the owner.
 func (d *desk) report() {
 	if owner, ok := d.remote(d.clock.Now()); ok {
-		runs := d.state.Load().Holding(d.self, d.clock.Now())
-		d.mesh.SendTo(owner, value.PlaceHolding{}.WithShard(d.shard).WithRuns(runs))
+		granted, runs := d.state.Load().Holding(d.self, owner, d.clock.Now())
+		d.mesh.SendTo(owner, value.PlaceHolding{}.WithShard(d.shard).WithGranted(granted).WithRuns(runs))
 	}
 }
 
@@ -196,7 +196,7 @@
 			heard = d.clock.Now()
 			switch a.Verdict() {
 			case value.PlaceVerdictGranted:
-				d.post(assign.Placed{Run: value.PlaceRun{}.WithWork(w).WithServer(a.Server()).WithFresh(a.Fresh())})
+				d.post(assign.Placed{Run: value.PlaceRun{}.WithWork(w).WithServer(a.Server()).WithFresh(a.Fresh()), By: owner})
 				return a, true
 			case value.PlaceVerdictRefused:
 				return a, true
@@ -267,7 +267,7 @@
 			d.post(assign.Ended{ID: b.Id(), Result: assign.Left})
 		}
 	case value.PlaceHolding:
-		d.post(assign.Held{Origin: sender, Runs: b.Runs()})
+		d.post(assign.Held{Origin: sender, Granted: b.Granted(), Runs: b.Runs()})
 	default:
 	}
 }
--- a/relay/service.go
+++ b/relay/service.go
@@ -141,10 +141,8 @@
 		return ""
 	}
 	var names []string
-	for _, m := range v.Members() {
-		if !m.Leaving() {
-			names = append(names, m.Name())
-		}
+	for _, m := range member.Capable(v.Members()) {
+		names = append(names, m.Name())
 	}
 	if len(names) == 0 {
 		return ""
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -172,6 +172,8 @@
 type ForwardResources struct {
 	memoryMib int64
 	cores     int64
+	coreShare float64
+	linkMbps  float64
 }
 
 // MemoryMib returns the field's value. Memory, in mebibytes; default 128.
@@ -192,6 +194,24 @@
 	return f
 }
 
+// CoreShare returns the field's value. Part of a core that the process gets; default 1.
+func (f ForwardResources) CoreShare() float64 { return f.coreShare }
+
+// WithCoreShare returns a copy with the field replaced.
+func (f ForwardResources) WithCoreShare(v float64) ForwardResources {
+	f.coreShare = v
+	return f
+}
+
+// LinkMbps returns the field's value. Bandwidth of the instance's network link, in megabits per second; default 1000.
+func (f ForwardResources) LinkMbps() float64 { return f.linkMbps }
+
+// WithLinkMbps returns a copy with the field replaced.
+func (f ForwardResources) WithLinkMbps(v float64) ForwardResources {
+	f.linkMbps = v
+	return f
+}
+
 // ForwardBounds are the time bounds that the deployment promises.
 type ForwardBounds struct {
 	graceMs  int64
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -335,8 +335,9 @@
 
 // PlaceHolding lists all requests of the sender at the servers of a shard.
 type PlaceHolding struct {
-	shard string
-	runs  List[PlaceRun]
+	shard   string
+	runs    List[PlaceRun]
+	granted List[uint64]
 }
 
 // Shard returns the field's value. Shard.
@@ -348,7 +349,7 @@
 	return p
 }
 
-// Runs returns the field's value. Requests in progress.
+// Runs returns the field's value. Requests in progress that the receiver has not granted.
 func (p PlaceHolding) Runs() List[PlaceRun] { return p.runs }
 
 // WithRuns returns a copy with the field replaced.
@@ -357,6 +358,15 @@
 	return p
 }
 
+// Granted returns the field's value. Ids of the requests in progress that the receiver has granted.
+func (p PlaceHolding) Granted() List[uint64] { return p.granted }
+
+// WithGranted returns a copy with the field replaced.
+func (p PlaceHolding) WithGranted(v List[uint64]) PlaceHolding {
+	p.granted = v
+	return p
+}
+
 // PlaceRun is one request at a server.
 type PlaceRun struct {
 	work   Work
--- a/value/peer.gen.go
+++ b/value/peer.gen.go
@@ -697,6 +697,7 @@
 	generation  uint64
 	digest      uint64
 	beat        uint64
+	capacity    int64
 }
 
 // Name returns the field's value. Instance name.
@@ -780,6 +781,15 @@
 	return m
 }
 
+// Capacity returns the field's value. What the instance can carry, in thousandths of a core; 0 when it is not known.
+func (m Member) Capacity() int64 { return m.capacity }
+
+// WithCapacity returns a copy with the field replaced.
+func (m Member) WithCapacity(v int64) Member {
+	m.capacity = v
+	return m
+}
+
 // Backlog summarises the queue of one shard by tier.
 type Backlog struct {
 	shard   string
--- a/wire/defaults.gen.go
+++ b/wire/defaults.gen.go
@@ -6,6 +6,8 @@
 var Defaults = map[string]int64{
 	"hoist.ForwardResources.memory_mib": 128,
 	"hoist.ForwardResources.cores":      1,
+	"hoist.ForwardResources.core_share": 1,
+	"hoist.ForwardResources.link_mbps":  1000,
 	"hoist.ForwardBounds.grace_ms":      8000,
 	"hoist.ForwardBounds.revoke_ms":     5000,
 	"hoist.ForwardRetries.permille":     200,
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -127,6 +127,8 @@
 	var v value.ForwardResources
 	v = v.WithMemoryMib(m.GetMemoryMib())
 	v = v.WithCores(m.GetCores())
+	v = v.WithCoreShare(m.GetCoreShare())
+	v = v.WithLinkMbps(m.GetLinkMbps())
 	return v
 }
 
@@ -135,6 +137,8 @@
 	m := &ForwardResources{}
 	m.SetMemoryMib(v.MemoryMib())
 	m.SetCores(v.Cores())
+	m.SetCoreShare(v.CoreShare())
+	m.SetLinkMbps(v.LinkMbps())
 	return m
 }
 
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -189,6 +189,13 @@
 		}
 		v = v.WithRuns(value.ListOf(items...))
 	}
+	if s := m.GetGranted(); len(s) > 0 {
+		items := make([]uint64, len(s))
+		for i := range s {
+			items[i] = s[i]
+		}
+		v = v.WithGranted(value.ListOf(items...))
+	}
 	return v
 }
 
@@ -203,6 +210,13 @@
 		}
 		m.SetRuns(items)
 	}
+	if v.Granted().Len() > 0 {
+		items := make([]uint64, 0, v.Granted().Len())
+		for x := range v.Granted().All() {
+			items = append(items, x)
+		}
+		m.SetGranted(items)
+	}
 	return m
 }
 
--- a/wire/peer.value.go
+++ b/wire/peer.value.go
@@ -350,6 +350,7 @@
 	v = v.WithGeneration(m.GetGeneration())
 	v = v.WithDigest(m.GetDigest())
 	v = v.WithBeat(m.GetBeat())
+	v = v.WithCapacity(m.GetCapacity())
 	return v
 }
 
@@ -365,6 +366,7 @@
 	m.SetGeneration(v.Generation())
 	m.SetDigest(v.Digest())
 	m.SetBeat(v.Beat())
+	m.SetCapacity(v.Capacity())
 	return m
 }
 
