gossip: Bound the urgent items of a batch

Urgent items were not bounded, so every exchange carried up to 23 KB; links of 10 Mbit/s lost heartbeats, lost peers were sent everything again, and the fleet sent 110 MB in two seconds until its end.

--- a/gossip/delta.go
+++ b/gossip/delta.go
@@ -17,7 +17,7 @@
 	Withheld Class = iota
 	// Bulk items wait until the byte budget allows them.
 	Bulk
-	// Urgent items are sent at once.
+	// Urgent items are sent at once, up to UrgentBytes in a batch.
 	Urgent
 )
 
@@ -29,12 +29,18 @@
 	After uint64
 	// Covered is the position up to which the peer has everything once it has the batch.
 	Covered uint64
+	// Carried is the position up to which the peer has the urgent items once it has the batch.
+	Carried uint64
 	// Bytes is the estimated encoded size of the items.
 	Bytes int
 	// Urgent reports whether the batch holds an urgent item.
 	Urgent bool
 }
 
+// UrgentBytes bounds the urgent items of one batch, so that a burst of them fits into one packet for each peer and
+// heartbeat and does not fill a thin link.
+const UrgentBytes = 1200
+
 // Delta returns the items after the position that the peer is to get, up to a number of bytes of bulk items.
 //
 // Urgent items are not held up by bulk items that wait for the budget; those up to the
@@ -43,8 +49,9 @@
 	if after > s.sequence {
 		after = 0
 	}
-	b := Batch{After: after, Covered: s.sequence}
+	b := Batch{After: after, Covered: s.sequence, Carried: s.sequence}
 	cut := false
+	left := UrgentBytes
 	for _, c := range s.since(after, class) {
 		if c.class == Urgent && c.record.sequence <= urgent && urgent <= s.sequence {
 			continue
@@ -57,6 +64,14 @@
 			cut = true
 			continue
 		}
+		if c.class == Urgent {
+			if size > left && left < UrgentBytes {
+				b.Carried = c.record.sequence - 1
+				b.Covered = min(b.Covered, b.Carried)
+				break
+			}
+			left -= size
+		}
 		b.Items = append(b.Items, c.record.aged(now))
 		b.Bytes += size
 		b.Urgent = b.Urgent || c.class == Urgent
--- a/gossip/store_test.go
+++ b/gossip/store_test.go
@@ -100,6 +100,26 @@
 		})
 	})
 
+	// Guards against a burst of urgent items, such as the charges after a server's crash, that fills the links of thin
+	// instances in every exchange, and against urgent items that a bounded batch leaves out for good.
+	It("bounds the urgent items of a batch and hands all of them over", func() {
+		urgent := func(gossip.Record) gossip.Class { return gossip.Urgent }
+		from, to := gossip.New("a", 1, 0), gossip.New("z", 1, 0)
+		const n = 500
+		for i := range n {
+			from = from.Put(value.Quarantine{}.WithFingerprint(uint64(i)), "", 0)
+		}
+		var known uint64
+		for range n {
+			b := from.Delta(0, known, 0, 0, urgent)
+			Expect(b.Bytes).To(BeNumerically("<=", gossip.UrgentBytes))
+			to, _ = to.Merge(value.ListOf(b.Items...), 0)
+			known = b.Carried
+		}
+		Expect(known).To(Equal(from.Sequence()))
+		Expect(versions(to)).To(HaveLen(n))
+	})
+
 	// Guards against a byte budget that counts less than what is sent.
 	It("never estimates an item below its encoded size", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/member/contact.go
+++ b/member/contact.go
@@ -30,9 +30,9 @@
 	// received is the position in the peer's store that has arrived here; acked is the
 	// position in the own store that has arrived there; pushed was sent and may be lost.
 	received, acked, pushed uint64
-	// pushedAt is the own beat of the batch that sent pushed; confirmed is the position up to
-	// which the urgent items have arrived there, although bulk items before it may still wait.
-	pushedAt, confirmed uint64
+	// pushedAt is the own beat of the last batch, and carried the position up to which it held the urgent items;
+	// confirmed is the position up to which they have arrived there, although bulk items before it may still wait.
+	pushedAt, carried, confirmed uint64
 	// losses counts how often this peer was lost; theirs is the peer's count of the same.
 	losses, theirs uint64
 	// floor is the position below which an acknowledgement does not count, because the
@@ -93,7 +93,7 @@
 		c.wants = p.Want()
 		if p.Losses() != c.theirs {
 			c.theirs = p.Losses()
-			c.pushed, c.pushedAt, c.confirmed = 0, 0, 0
+			c.pushed, c.pushedAt, c.carried, c.confirmed = 0, 0, 0, 0
 		}
 	} else {
 		c.acked = max(c.acked, p.Ack())
@@ -105,7 +105,7 @@
 		c.echo = echo
 		c.proved = now
 		if c.pushedAt > 0 && echo >= c.pushedAt {
-			c.confirmed = c.pushed
+			c.confirmed = c.carried
 		}
 	}
 	if c.condition != conditionLive && c.echo > c.failedAt {
--- a/member/meet.go
+++ b/member/meet.go
@@ -94,7 +94,7 @@
 	t.beat++
 	b := t.store.Delta(c.known(), c.urgentKnown(), t.budget.Left(), t.now, t.class(name))
 	t.budget = t.budget.Spend(b.Bytes)
-	c.pushed, c.pushedAt = t.store.Sequence(), t.beat
+	c.pushed, c.pushedAt, c.carried = t.store.Sequence(), t.beat, b.Carried
 	c.alerted = t.beat
 	p := value.Pulse{}.WithIncarnation(t.self.Incarnation()).WithBeat(t.beat).WithEcho(c.beat).
 		WithSequence(b.Covered).WithSpan(b.Covered - min(b.After, b.Covered)).WithAck(c.received).WithWant(c.generation == 0).WithLosses(c.losses)
@@ -105,9 +105,11 @@
 }
 
 // push begins the exchanges that must not wait for a heartbeat.
+//
+// Urgent items wait for the heartbeats while the budget is used up; a burst of them would fill thin links.
 func (t *turn) push() {
 	alert := t.versionAt > t.pushedVersion
-	if !alert && t.urgent <= t.pushedUrgent {
+	if !alert && (t.urgent <= t.pushedUrgent || t.budget.At(t.now).Left() == 0) {
 		return
 	}
 	alert = alert && t.heralds()
--- a/member/state_test.go
+++ b/member/state_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/config"
 	"chicoryhoist.example/hoist/golden"
+	"chicoryhoist.example/hoist/gossip"
 	"chicoryhoist.example/hoist/member"
+	"chicoryhoist.example/hoist/value"
 )
 
 func init() { golden.FixSeed() }
@@ -88,6 +91,34 @@
 		})
 	})
 
+	// Guards against charges of a crashed server's requests that fill the links of thin instances until heartbeats are lost.
+	It("spreads a burst of charges within a tenth of a link of 10 Mbit/s", func() {
+		f := newFleet(1, 20, 20, 20, 20)
+		f.run(20 * hoist.Second)
+		f.measure = encoded
+		for i := range 450 {
+			n := f.nodes[f.names[i%len(f.names)]]
+			f.decide(n, n.self.Incarnation(), member.Posted{Body: value.Quarantine{}.WithFingerprint(uint64(i))})
+		}
+		const tenth = 125_000
+		for range 15 {
+			for _, n := range f.nodes {
+				n.bytes = 0
+			}
+			f.run(hoist.Second)
+			for _, n := range f.nodes {
+				Expect(n.bytes).To(BeNumerically("<=", tenth))
+			}
+		}
+		for _, name := range f.names {
+			known := 0
+			for range f.nodes[name].state.Store().All(gossip.KindQuarantine) {
+				known++
+			}
+			Expect(known).To(Equal(450), name)
+		}
+	})
+
 	// Guards against routers that keep their shards, or servers that get new work, for more than 3 s after a departure.
 	It("knows a departure everywhere within 3 s", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
