feed: Give whole lists to instances of the data centre, and wait while the membership settles

Cause: when the store dropped its history, all 80 instances listed it and read it alone for three seconds; after a start, an instance whose list was older than its reader's got no answer and did the same.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -30,6 +30,7 @@
 // knowledge is what the follower publishes for readers in other goroutines.
 type knowledge struct {
 	view     *View
+	state    State
 	revision int64
 	// history holds the newest changes, the oldest first; it is complete after the revision since.
 	history value.List[value.FeedRecord]
@@ -156,7 +157,7 @@
 func (f *Follower) apply(e Event) {
 	old := f.known.Load()
 	f.state = f.state.Decide(e, f.Clock.Now())
-	k := &knowledge{view: f.state.View(), revision: f.state.Revision(), history: old.history, since: old.since}
+	k := &knowledge{view: f.state.View(), state: f.state, revision: f.state.Revision(), history: old.history, since: old.since}
 	switch e := e.(type) {
 	case Listed:
 		k.history, k.since = value.List[value.FeedRecord]{}, e.Changes.At
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -20,8 +20,10 @@
 
 // source is a store that holds one route table whose version grows with the revision.
 type source struct {
-	revision atomic.Int64
-	down     atomic.Bool
+	revision  atomic.Int64
+	down      atomic.Bool
+	compacted atomic.Bool
+	lists     atomic.Int64
 }
 
 var errDown = errors.New("store is down")
@@ -41,6 +43,7 @@
 	if s.down.Load() {
 		return feed.Changes{}, errDown
 	}
+	s.lists.Add(1)
 	return s.changes(), nil
 }
 
@@ -51,6 +54,8 @@
 		switch {
 		case s.down.Load():
 			return feed.Changes{}, errDown
+		case s.compacted.CompareAndSwap(true, false):
+			return feed.Changes{}, feed.ErrCompacted
 		case s.revision.Load() > after:
 			return s.changes(), nil
 		case time.Now().After(end):
@@ -76,6 +81,8 @@
 	}
 }
 
+func (l *link) Settling() bool { return false }
+
 func (l *link) Reader() (string, bool) { return "reader", l.self != "reader" }
 
 func (l *link) Other() (string, bool) {
@@ -139,6 +146,19 @@
 		Eventually(func() hoist.Millis { return listener.View().Proved }).WithTimeout(5 * time.Second).Should(BeNumerically(">", before))
 	})
 
+	// Guards against a whole fleet that lists the store when it has dropped its history.
+	It("take the whole list from the reader when the store has dropped its history", func() {
+		_, listener, a, b := pair(ctx)
+		Eventually(version(listener)).Should(Equal(uint64(1)))
+		lists := b.lists.Load()
+		a.revision.Store(5)
+		a.compacted.Store(true)
+		b.compacted.Store(true)
+		b.down.Store(true)
+		Eventually(version(listener)).WithTimeout(5 * time.Second).Should(Equal(uint64(5)))
+		Expect(b.lists.Load()).To(Equal(lists))
+	})
+
 	// Guards against a listener that stays behind with its reader.
 	It("turn to the store when the reader is behind", func() {
 		_, listener, a, b := pair(ctx)
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -17,6 +17,9 @@
 	listenInterval = 500 * hoist.Millis(1)
 	// listenTime bounds the answer of the reader.
 	listenTime = 250 * hoist.Millis(1)
+	// settleInterval is the time between two looks at the membership while it is not settled; a fresh list needs no
+	// question to the store until then.
+	settleInterval = 100 * hoist.Millis(1)
 	// missLimit is the number of questions without a fresh answer after which an instance turns to the store.
 	missLimit = 2
 	// aloneTime is the time for which an instance then reads the store itself.
@@ -31,6 +34,8 @@
 type Mesh interface {
 	// SendTo sends a message to a live instance; it may be lost.
 	SendTo(name string, b value.DatagramBody)
+	// Settling reports whether the live instances are not known yet, or not any more after a pause.
+	Settling() bool
 	// Reader returns the instance that reads the store for this one; false means that this one does.
 	Reader() (string, bool)
 	// Other returns a live instance other than this one, chosen at random.
@@ -61,6 +66,10 @@
 	if f.Mesh == nil {
 		return false
 	}
+	if f.Mesh.Settling() && f.View().Age(f.Clock.Now()) < behindWaits*f.Wait {
+		f.pause(ctx, settleInterval)
+		return true
+	}
 	reader, ok := f.Mesh.Reader()
 	if !ok || f.Clock.Now() < f.alone {
 		f.askOther(ctx)
@@ -76,12 +85,17 @@
 	}
 	f.misses = 0
 	f.apply(e)
+	f.pause(ctx, listenInterval)
+	return true
+}
+
+// pause waits for the time, for a hint of the reader or for the end of ctx.
+func (f *Follower) pause(ctx context.Context, t hoist.Millis) {
 	select {
 	case <-ctx.Done():
 	case <-f.peers.hint:
-	case <-f.Clock.After(listenInterval):
+	case <-f.Clock.After(t):
 	}
-	return true
 }
 
 // askOther asks any other instance while the store turns this one away; its own proof serves as well.
@@ -124,7 +138,11 @@
 		for r := range v.Records().All() {
 			records = append(records, r)
 		}
-		return Changed{Changes{records, v.Revision()}, asked - hoist.Millis(v.AgeMs())}, nil
+		c, proved := Changes{records, v.Revision()}, asked-hoist.Millis(v.AgeMs())
+		if v.Whole() {
+			return Listed{c, proved}, nil
+		}
+		return Changed{c, proved}, nil
 	}
 }
 
@@ -183,8 +201,12 @@
 func (f *Follower) reply(to string, q value.FeedAsk) {
 	k := f.known.Load()
 	a := value.FeedAnswer{}.WithRevision(max(k.revision, q.Revision())).WithAgeMs(int64(k.view.Age(f.Clock.Now()))).
-		WithGap(k.view.Table == nil || q.Revision() < k.since)
-	if !a.Gap() {
+		WithGap(k.view.Table == nil).WithWhole(q.Revision() < k.since)
+	switch {
+	case a.Gap():
+	case a.Whole():
+		a = a.WithRecords(value.ListOf(k.state.Records()...))
+	default:
 		var records []value.FeedRecord
 		for r := range k.history.All() {
 			if r.Revision() > q.Revision() {
--- a/feed/state.go
+++ b/feed/state.go
@@ -40,7 +40,9 @@
 
 // State is the immutable state of one follower.
 type State struct {
-	table    *route.Table
+	table *route.Table
+	// published is the record of the table.
+	published value.FeedRecord
 	entries  map[string]entry
 	gone     map[string]int64
 	revision int64
@@ -68,6 +70,20 @@
 	return v
 }
 
+// Records returns the whole content without the entries that have lapsed.
+func (s State) Records() []value.FeedRecord {
+	var records []value.FeedRecord
+	if s.table != nil {
+		records = append(records, s.published)
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
+		if e := s.entries[k]; e.lapsed == 0 {
+			records = append(records, value.FeedRecord{}.WithKey(k).WithRevision(e.revision).WithBody(e.server))
+		}
+	}
+	return records
+}
+
 // Decide returns the state after the event.
 func (s State) Decide(e Event, now hoist.Millis) State {
 	switch e := e.(type) {
@@ -116,7 +132,7 @@
 	switch b := r.Body().(type) {
 	case value.RouteTable:
 		if s.table == nil || b.Version() > s.table.Version() {
-			s.table = route.NewTable(b)
+			s.table, s.published = route.NewTable(b), r
 		}
 	case value.BackendServer:
 		s.entries[r.Key()] = entry{server: b, revision: r.Revision()}
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -150,6 +150,9 @@
 	m.send(to, 0, value.MeetAnswer{}.WithGossip(m.gossip(items)))
 }
 
+// Settling reports whether the live instances are not known yet, or not any more after a pause.
+func (m *Mesh) Settling() bool { return m.View().Stale() }
+
 // Reader returns the instance of the own data centre that reads the store; false means that this instance reads for
 // itself, also while its view is stale.
 func (m *Mesh) Reader() (string, bool) {
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -485,6 +485,7 @@
 	revision int64
 	gap      bool
 	records  List[FeedRecord]
+	whole    bool
 }
 
 // AgeMs returns the field's value. Age of the proof that nothing newer was in the store, in milliseconds.
@@ -505,7 +506,7 @@
 	return f
 }
 
-// Gap returns the field's value. Gap says that the reader no longer knows the changes since the revision.
+// Gap returns the field's value. Gap says that the reader knows no content at all.
 func (f FeedAnswer) Gap() bool { return f.gap }
 
 // WithGap returns a copy with the field replaced.
@@ -523,6 +524,15 @@
 	return f
 }
 
+// Whole returns the field's value. Whole says that the records are the whole content, because the changes since the revision are no longer known.
+func (f FeedAnswer) Whole() bool { return f.whole }
+
+// WithWhole returns a copy with the field replaced.
+func (f FeedAnswer) WithWhole(v bool) FeedAnswer {
+	f.whole = v
+	return f
+}
+
 // FeedRecordBody is one of the alternatives of FeedRecord.
 //
 //sumtype:decl
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -293,6 +293,7 @@
 		}
 		v = v.WithRecords(value.ListOf(items...))
 	}
+	v = v.WithWhole(m.GetWhole())
 	return v
 }
 
@@ -309,6 +310,7 @@
 		}
 		m.SetRecords(items)
 	}
+	m.SetWhole(v.Whole())
 	return m
 }
 
