feed: Ask the store less often at the start and while it is away

Cause: in the second after a start an instance knew no other and took itself for the reader (680 calls of 80 instances, each woken by every server that registered); while the store was away, every instance asked it more than once a second, because the reader's proof was old as well.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -20,12 +20,17 @@
 	// pauseLeast and pauseMost bound the pause after a failed question.
 	pauseLeast = 100 * hoist.Millis(1)
 	pauseMost  = hoist.Second
+	// gatherTime is the pause after an answer with changes: a small part of the time within which changes must be in force.
+	gatherTime = 100 * hoist.Millis(1)
 	// historyMost bounds the changes that are kept for other instances.
 	historyMost = 256
 )
 
-// errBehind says that the reader has no fresh proof itself.
-var errBehind = errors.New("the reader of the store is behind")
+// errBehind says that the reader has no fresh proof itself, and errEmpty that it has no content yet.
+var (
+	errBehind = errors.New("the reader of the store is behind")
+	errEmpty  = errors.New("the reader of the store has no content yet")
+)
 
 // knowledge is what the follower publishes for readers in other goroutines.
 type knowledge struct {
@@ -64,9 +69,10 @@
 	state       State
 	listed      bool
 	unreachable bool
-	// misses counts the questions to the reader in a row without a fresh answer; until alone, the reader is not asked.
-	misses int
-	alone  hoist.Millis
+	// misses counts the questions to the reader in a row without a fresh answer; until alone, the store is asked in its
+	// place, but not before patient while the store fails as well.
+	misses         int
+	alone, patient hoist.Millis
 }
 
 // NewFollower returns a follower of the source.
@@ -96,11 +102,15 @@
 		f.apply(e)
 		if err == nil {
 			pause = pauseLeast
+			f.gather(ctx, e)
 			continue
 		}
 		if errors.Is(err, ErrCompacted) {
 			continue
 		}
+		if f.yield() {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-f.Clock.After(pause/2 + rand.N(pause)):
@@ -109,6 +119,30 @@
 	}
 }
 
+// yield goes back to the reader of the data centre after the store has failed as well; it reports false when there is
+// none.
+func (f *Follower) yield() bool {
+	if f.Mesh == nil || !f.listed {
+		return false
+	}
+	if _, ok := f.Mesh.Reader(); !ok {
+		return false
+	}
+	f.patient = f.Clock.Now() + patientTime/2 + rand.N(patientTime)
+	return true
+}
+
+// gather waits after an answer with changes, so that changes that follow each other closely cost one question.
+func (f *Follower) gather(ctx context.Context, e Event) {
+	if c, ok := e.(Changed); !ok || len(c.Changes.Records) == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(gatherTime):
+	}
+}
+
 // ask puts the next question to the store.
 func (f *Follower) ask(ctx context.Context) (Event, error) {
 	asked := f.Clock.Now()
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +25,9 @@
 	missLimit = 2
 	// aloneTime is the time for which an instance then reads the store itself.
 	aloneTime = 3 * hoist.Second
+	// patientTime is the time between two questions of one instance to a store that fails the reader as well; the whole
+	// fleet asks it then, and the reader notices its return within a second.
+	patientTime = 2 * hoist.Second
 	// behindWaits is the age of a reader's proof, in waits of a watch, beyond which the reader is behind.
 	behindWaits = 3
 	// partBytes is the size of one part of an answer.
@@ -71,7 +75,8 @@
 		return true
 	}
 	reader, ok := f.Mesh.Reader()
-	if !ok || f.Clock.Now() < f.alone {
+	now := f.Clock.Now()
+	if !ok || (now < f.alone && now >= f.patient) {
 		f.askOther(ctx)
 		return false
 	}
@@ -81,6 +86,9 @@
 		if f.misses++; f.misses >= missLimit {
 			f.misses, f.alone = 0, f.Clock.Now()+aloneTime
 		}
+		if now < f.patient || errors.Is(err, errEmpty) {
+			f.pause(ctx, listenInterval)
+		}
 		return true
 	}
 	f.misses = 0
@@ -131,7 +139,10 @@
 			return nil, err
 		}
 		v := wire.FeedAnswerValue(m)
-		if v.Gap() || hoist.Millis(v.AgeMs()) > behindWaits*f.Wait {
+		if v.Gap() {
+			return nil, errEmpty
+		}
+		if hoist.Millis(v.AgeMs()) > behindWaits*f.Wait {
 			return nil, errBehind
 		}
 		records := make([]value.FeedRecord, 0, v.Records().Len())
--- a/feed/state.go
+++ b/feed/state.go
@@ -43,10 +43,10 @@
 	table *route.Table
 	// published is the record of the table.
 	published value.FeedRecord
-	entries  map[string]entry
-	gone     map[string]int64
-	revision int64
-	proved   hoist.Millis
+	entries   map[string]entry
+	gone      map[string]int64
+	revision  int64
+	proved    hoist.Millis
 	// away is set while questions fail, and returned is the time of the first answer after that.
 	away     bool
 	returned hoist.Millis
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -151,7 +151,11 @@
 }
 
 // Settling reports whether the live instances are not known yet, or not any more after a pause.
-func (m *Mesh) Settling() bool { return m.View().Stale() }
+func (m *Mesh) Settling() bool {
+	v := m.View()
+	alone := len(v.Members()) == 1 && m.Settings.Peers().Seeds().Len() > 0
+	return v.Stale() || alone && m.Clock.Now()-m.begun < settleTime
+}
 
 // Reader returns the instance of the own data centre that reads the store; false means that this instance reads for
 // itself, also while its view is stale.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -33,6 +33,9 @@
 	joinInterval = hoist.Second
 	joinTime     = 8 * hoist.Second
 	syncInterval = 10 * hoist.Second
+	// settleTime is the time after the start in which an instance that knows no other still expects to meet them: two
+	// requests for all members, and the heartbeats that follow.
+	settleTime = 2500 * hoist.Millis(1)
 	// seedTurns is the number of these requests of which one goes to a seed.
 	seedTurns = 3
 	// coreThousandths and linkThousandths are the capacities of one core and of a link of one megabit per second; the
@@ -73,6 +76,8 @@
 	socket *net.UDPConn
 	view   atomic.Pointer[member.View]
 	inbox  chan input
+	// begun is the time at which the instance was made.
+	begun hoist.Millis
 	// Sent and SentBytes count datagrams; Invalid counts those that could not be read.
 	Sent, SentBytes, Invalid atomic.Int64
 
@@ -101,7 +106,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for other instances")
 	}
-	m := &Mesh{Options: o, socket: socket, inbox: make(chan input, inboxSize), exchanges: map[uint64]exchange{}}
+	m := &Mesh{Options: o, socket: socket, inbox: make(chan input, inboxSize), begun: o.Clock.Now(), exchanges: map[uint64]exchange{}}
 	// The time of day only has to exceed that of an earlier process of this instance; renew repairs the case in which it doesn't.
 	m.begin(uint64(time.Now().UnixMilli()))
 	return m, nil
