--- a/assign/choose.go
+++ b/assign/choose.go
@@ -71,6 +71,7 @@
 		c = plainCost * (c + 1) / float64(max(x.entry.Slots(), 1)) * slow
 	} else {
 		c = slow*((x.ahead(w.Rank())+recentWeight*x.recent(now)+float64(fresh))/readRate+c*runCost) + wasteWeight*float64(waste)/readRate
+		c += pauseWeight * float64(x.urgent(w.Rank())) * float64(fresh) / readRate
 	}
 	if over := x.runs.Len() + 1 - int(x.entry.Slots()); over > 0 && x.entry.Slots() > 0 {
 		c += float64(over) * slotCost
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -18,6 +18,8 @@
 	recentTime = 2 * hoist.Second
 	// reuseWindow is the time within which computing a part again counts as waste; deployments state 4.8 to 7.1 s.
 	reuseWindow = 8 * hoist.Second
+	// pauseWeight is the weight of the pause that a prompt causes in each running stream of a higher rank.
+	pauseWeight = 0.6
 	// runCost is the delay that one running request adds to the first token of the next, in milliseconds.
 	runCost = 2
 	// plainCost scales the load of a plain service to milliseconds.
--- a/assign/server.go
+++ b/assign/server.go
@@ -163,6 +163,17 @@
 	return n
 }
 
+// urgent returns the number of streams at the server whose rank is higher than the given one.
+func (s server) urgent(rank int32) int {
+	n := 0
+	for r := range s.runs.All() {
+		if r.work.Rank() < rank {
+			n++
+		}
+	}
+	return n
+}
+
 // slowness returns the factor by which work takes longer than usual, as last reported.
 func (s server) slowness(now hoist.Millis) float64 {
 	if now-s.reported > reportLife || s.load.Slowness() <= 0 {
