feed: Turn to the store as soon as it fails the reader

The store turned away the reader of the data centre; its proof was fresh for two waits of a watch, so the others relied on it for 2.5 s. The reader now says that its last question failed.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -16,7 +16,7 @@
 const (
 	// listTime bounds one list of the store, and answerTime the answer of a watch beyond its wait.
 	listTime   = 3 * hoist.Second
-	answerTime = hoist.Second
+	answerTime = 500 * hoist.Millis(1)
 	// pauseLeast and pauseMost bound the pause after a failed question.
 	pauseLeast = 100 * hoist.Millis(1)
 	pauseMost  = hoist.Second
@@ -26,7 +26,7 @@
 	historyMost = 256
 )
 
-// errBehind says that the reader has no fresh proof itself, and errEmpty that it has no content yet.
+// errBehind says that the store fails the reader, and errEmpty that it has no content yet.
 var (
 	errBehind = errors.New("the reader of the store is behind")
 	errEmpty  = errors.New("the reader of the store has no content yet")
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -100,7 +100,7 @@
 }
 
 // pair starts a reader and a listener with a source each.
-func pair(ctx context.Context) (reader, listener *feed.Follower, a, b *source) {
+func pair(ctx context.Context, wait hoist.Millis) (reader, listener *feed.Follower, a, b *source) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	peers := map[string]*feed.Follower{}
@@ -108,7 +108,7 @@
 		s := &source{}
 		s.revision.Store(1)
 		peers[name] = feed.NewFollower(feed.Options{
-			Source: s, Clock: hoist.NewBootClock(), Log: event.NewLog(logger), Wait: 100, Mesh: &link{name, peers},
+			Source: s, Clock: hoist.NewBootClock(), Log: event.NewLog(logger), Wait: wait, Mesh: &link{name, peers},
 		})
 		return peers[name], s
 	}
@@ -137,7 +137,7 @@
 
 	// Guards against an instance that needs the store although its reader has it, and against a table that is lost on its way in parts.
 	It("learn from the reader while their own store is down", func() {
-		_, listener, a, b := pair(ctx)
+		_, listener, a, b := pair(ctx, 100)
 		Eventually(version(listener)).Should(Equal(uint64(1)))
 		b.down.Store(true)
 		a.revision.Store(2)
@@ -148,7 +148,7 @@
 
 	// Guards against a whole fleet that lists the store when it has dropped its history.
 	It("take the whole list from the reader when the store has dropped its history", func() {
-		_, listener, a, b := pair(ctx)
+		_, listener, a, b := pair(ctx, 100)
 		Eventually(version(listener)).Should(Equal(uint64(1)))
 		lists := b.lists.Load()
 		a.revision.Store(5)
@@ -161,16 +161,26 @@
 
 	// Guards against a listener that stays behind with its reader.
 	It("turn to the store when the reader is behind", func() {
-		_, listener, a, b := pair(ctx)
+		_, listener, a, b := pair(ctx, 100)
 		Eventually(version(listener)).Should(Equal(uint64(1)))
 		a.down.Store(true)
 		b.revision.Store(3)
 		Eventually(version(listener)).WithTimeout(10 * time.Second).Should(Equal(uint64(3)))
 	})
 
+	// Guards against a withdrawn key that stays in use because the reader's proof is not old yet although its store fails.
+	It("turn to the store as soon as it fails the reader", func() {
+		reader, listener, a, b := pair(ctx, 1500)
+		Eventually(version(listener)).Should(Equal(uint64(1)))
+		Eventually(version(reader)).Should(Equal(uint64(1)))
+		a.down.Store(true)
+		b.revision.Store(3)
+		Eventually(version(listener)).WithTimeout(1500 * time.Millisecond).Should(Equal(uint64(3)))
+	})
+
 	// Guards against a reader that refuses keyed requests although another instance can prove that they are allowed.
 	It("take the proof of another instance while the store turns the reader away", func() {
-		reader, listener, a, b := pair(ctx)
+		reader, listener, a, b := pair(ctx, 100)
 		Eventually(version(reader)).Should(Equal(uint64(1)))
 		Eventually(version(listener)).Should(Equal(uint64(1)))
 		a.down.Store(true)
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -142,7 +142,7 @@
 		if v.Gap() {
 			return nil, errEmpty
 		}
-		if hoist.Millis(v.AgeMs()) > behindWaits*f.Wait {
+		if v.Away() || hoist.Millis(v.AgeMs()) > behindWaits*f.Wait {
 			return nil, errBehind
 		}
 		records := make([]value.FeedRecord, 0, v.Records().Len())
@@ -212,7 +212,7 @@
 func (f *Follower) reply(to string, q value.FeedAsk) {
 	k := f.known.Load()
 	a := value.FeedAnswer{}.WithRevision(max(k.revision, q.Revision())).WithAgeMs(int64(k.view.Age(f.Clock.Now()))).
-		WithGap(k.view.Table == nil).WithWhole(q.Revision() < k.since)
+		WithGap(k.view.Table == nil).WithAway(k.state.away).WithWhole(q.Revision() < k.since)
 	switch {
 	case a.Gap():
 	case a.Whole():
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -486,6 +486,7 @@
 	gap      bool
 	records  List[FeedRecord]
 	whole    bool
+	away     bool
 }
 
 // AgeMs returns the field's value. Age of the proof that nothing newer was in the store, in milliseconds.
@@ -533,6 +534,15 @@
 	return f
 }
 
+// Away returns the field's value. Away says that the store has not answered the reader's last question.
+func (f FeedAnswer) Away() bool { return f.away }
+
+// WithAway returns a copy with the field replaced.
+func (f FeedAnswer) WithAway(v bool) FeedAnswer {
+	f.away = v
+	return f
+}
+
 // FeedRecordBody is one of the alternatives of FeedRecord.
 //
 //sumtype:decl
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -294,6 +294,7 @@
 		v = v.WithRecords(value.ListOf(items...))
 	}
 	v = v.WithWhole(m.GetWhole())
+	v = v.WithAway(m.GetAway())
 	return v
 }
 
@@ -311,6 +312,7 @@
 		m.SetRecords(items)
 	}
 	m.SetWhole(v.Whole())
+	m.SetAway(v.Away())
 	return m
 }
 
