standin: Disturb connections in the soak of processes

A proxy delays, resets, silences or holds one way of the connections to servers, from each router to the store and from the callers.

--- a/cmd/standin/chaos/chaos.go
+++ b/cmd/standin/chaos/chaos.go
@@ -21,6 +21,7 @@
 
 	"chicoryhoist.example/hoist/cmd/standin/fakbe"
 	"chicoryhoist.example/hoist/cmd/standin/fakst"
+	"chicoryhoist.example/hoist/cmd/standin/proxy"
 )
 
 const (
@@ -78,7 +79,9 @@
 	addresses map[string]string
 	storeAt   string
 	routers   []*process
-	calmed    atomic.Bool
+	// links are the proxies that faults hit: those to the servers, from each router to the store, and from the callers.
+	links  []*proxy.Proxy
+	calmed atomic.Bool
 	// revoked is the time at which the key was withdrawn in Unix milliseconds, or zero.
 	revoked atomic.Int64
 	version int
@@ -155,6 +158,11 @@
 		if r.addresses[id], err = serve(s); err != nil {
 			return stop, err
 		}
+		if !spared(id) {
+			if r.addresses[id], err = r.link(r.addresses[id]); err != nil {
+				return stop, err
+			}
+		}
 		r.enter(id, "ready")
 	}
 	r.publish(`"k1","k2"`)
@@ -162,6 +170,16 @@
 	return stop, err
 }
 
+// link returns the address of a new proxy in front of the target.
+func (r *run) link(target string) (string, error) {
+	p, err := proxy.New(target)
+	if err != nil {
+		return "", err
+	}
+	r.links = append(r.links, p)
+	return p.Address(), nil
+}
+
 // enter writes the entry of a server.
 func (r *run) enter(id, state string) {
 	r.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"x","slots":16,"state":%q}`, id[:3], r.addresses[id], state))
@@ -216,12 +234,19 @@
 
 // add starts an instance.
 func (r *run) add(i int) error {
-	p := &process{url: fmt.Sprintf("http://127.1.%d.%d:%d", r.net(), i+1, callersPort), file: filepath.Join(r.dir, fmt.Sprintf("n%d.toml", i+1))}
-	text := fmt.Sprintf(settings, i+1, i%datacentres, callersPort, readyPort, metricsPort, r.storeAt, grace.Milliseconds(), revoke.Milliseconds(), r.net())
+	store, err := r.link(r.storeAt)
+	if err != nil {
+		return err
+	}
+	callers, err := r.link(fmt.Sprintf("127.1.%d.%d:%d", r.net(), i+1, callersPort))
+	if err != nil {
+		return err
+	}
+	p := &process{url: "http://" + callers, file: filepath.Join(r.dir, fmt.Sprintf("n%d.toml", i+1))}
+	text := fmt.Sprintf(settings, i+1, i%datacentres, callersPort, readyPort, metricsPort, store, grace.Milliseconds(), revoke.Milliseconds(), r.net())
 	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
-	var err error
 	if p.logs, err = os.Create(filepath.Join(r.dir, fmt.Sprintf("n%d.log", i+1))); err != nil {
 		return eris.Wrap(err, "create log")
 	}
@@ -261,6 +286,9 @@
 		_ = p.cmd.Wait() // It was killed.
 		_ = p.logs.Close()
 	}
+	for _, l := range r.links {
+		_ = l.Close() // The run is over.
+	}
 }
 
 // play sends requests while faults come, then waits for calm and checks that everything is served.
--- a/cmd/standin/chaos/fault.go
+++ b/cmd/standin/chaos/fault.go
@@ -3,26 +3,46 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"chicoryhoist.example/hoist/cmd/standin/fakbe"
 	"chicoryhoist.example/hoist/cmd/standin/fakst"
+	"chicoryhoist.example/hoist/cmd/standin/proxy"
 )
 
 // disturb injects faults until ctx ends, then repairs everything.
+//
+// Faults of processes and servers and those of connections come in two series, so that each seed keeps its series when
+// the other one grows.
 func (r *run) disturb(ctx context.Context) {
-	g := r.random(0)
-	var repairs []func()
+	var group sync.WaitGroup
+	group.Go(func() { r.series(ctx, r.random(0), r.fault) })
+	group.Go(func() { r.series(ctx, r.random(linkPart), r.linkFault) })
+	group.Wait()
+	r.store.SetMode(fakst.Serving)
+	for id := range r.servers {
+		r.servers[id].Fail(fakbe.None, 0)
+		r.enter(id, "ready")
+	}
+}
+
+// linkPart is the part of the random numbers that the faults of connections use; callers use those from 1.
+const linkPart = 1 << 20
+
+// series injects faults of one kind until ctx ends, and returns after the last repair.
+func (r *run) series(ctx context.Context, g *rand.Rand, fault func(*rand.Rand) func()) {
+	var repairs sync.WaitGroup
 	for ctx.Err() == nil {
 		r.Faults.Add(1)
-		if repair := r.fault(g); repair != nil {
+		if repair := fault(g); repair != nil {
 			// A repair may come late, so that faults overlap.
 			after := time.Duration(200+g.IntN(2500)) * time.Millisecond
-			done := make(chan struct{})
-			repairs = append(repairs, func() { <-done })
+			repairs.Add(1)
 			time.AfterFunc(after, func() {
-				defer close(done)
+				defer repairs.Done()
 				repair()
 			})
 		}
@@ -31,14 +51,7 @@
 		case <-time.After(time.Duration(150+g.IntN(900)) * time.Millisecond):
 		}
 	}
-	for _, wait := range repairs {
-		wait()
-	}
-	r.store.SetMode(fakst.Serving)
-	for id := range r.servers {
-		r.servers[id].Fail(fakbe.None, 0)
-		r.enter(id, "ready")
-	}
+	repairs.Wait()
 }
 
 // backendFaults are the faults of servers.
@@ -47,6 +60,21 @@
 // serverNames are the servers that faults hit; one of each service is spared, so that requests can be served.
 var serverNames = []string{"llm-1", "llm-2", "app-1", "app-2"}
 
+// spared reports whether faults leave the server alone.
+func spared(server string) bool { return !slices.Contains(serverNames, server) }
+
+// linkFaults are the faults of connections.
+var linkFaults = []proxy.Fault{
+	proxy.Delay{By: 50 * time.Millisecond}, proxy.Delay{By: 400 * time.Millisecond}, proxy.Silence{}, proxy.HoldRequests{}, proxy.HoldAnswers{}, proxy.Reset{},
+}
+
+// linkFault disturbs one link and returns its repair.
+func (r *run) linkFault(g *rand.Rand) func() {
+	l := r.links[g.IntN(len(r.links))]
+	l.Set(linkFaults[g.IntN(len(linkFaults))])
+	return func() { l.Set(proxy.Clear{}) }
+}
+
 // fault injects one fault and returns its repair, or nil.
 func (r *run) fault(g *rand.Rand) func() {
 	p := r.routers[g.IntN(len(r.routers))]
--- /dev/null
+++ b/cmd/standin/proxy/proxy.go
@@ -0,0 +1,206 @@
+// Package proxy forwards TCP connections on loopback and disturbs them on demand.
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// chunkBytes is the most that is read from one side before it is passed on.
+	chunkBytes = 16 << 10
+	// dialTime bounds the time to connect to the target.
+	dialTime = time.Second
+)
+
+// Fault is a disturbance of all connections through a proxy.
+//
+//sumtype:decl
+type Fault interface{ isFault() }
+
+// Clear passes everything on.
+type Clear struct{}
+
+// Delay passes everything on later.
+type Delay struct{ By time.Duration }
+
+// Silence holds what both sides send; new connections are accepted.
+type Silence struct{}
+
+// HoldRequests holds what clients send, and HoldAnswers what the target sends.
+type (
+	HoldRequests struct{}
+	HoldAnswers  struct{}
+)
+
+// Reset ends every connection, also new ones, with a reset.
+type Reset struct{}
+
+func (Clear) isFault()        {}
+func (Delay) isFault()        {}
+func (Silence) isFault()      {}
+func (HoldRequests) isFault() {}
+func (HoldAnswers) isFault()  {}
+func (Reset) isFault()        {}
+
+// direction is the way that bytes take.
+type direction int
+
+const (
+	toTarget direction = iota
+	toClient
+)
+
+// Proxy forwards connections to one target; bytes that a fault holds are passed on once it is over, as TCP would
+// transmit them again.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	fault    Fault
+	// changed is closed when the fault changes.
+	changed chan struct{}
+	open    map[net.Conn]bool
+}
+
+// New returns a proxy on a free port of loopback.
+func New(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	p := &Proxy{listener: l, target: target, fault: Clear{}, changed: make(chan struct{}), open: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns the address on which the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set puts a fault in the place of the present one.
+func (p *Proxy) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if _, ok := f.(Reset); ok {
+		for c := range p.open {
+			reset(c)
+		}
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() error {
+	p.Set(Reset{})
+	return eris.Wrap(p.listener.Close(), "close")
+}
+
+// accept takes connections until the listener is closed.
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go p.serve(c)
+		}
+	}
+}
+
+// serve forwards one connection.
+func (p *Proxy) serve(client net.Conn) {
+	target, err := net.DialTimeout("tcp", p.target, dialTime)
+	if err != nil || !p.track(client, target) {
+		reset(client)
+		if target != nil {
+			reset(target)
+		}
+		return
+	}
+	var group sync.WaitGroup
+	group.Go(func() { p.pass(client, target, toTarget) })
+	group.Go(func() { p.pass(target, client, toClient) })
+	group.Wait()
+	p.mu.Lock()
+	delete(p.open, client)
+	delete(p.open, target)
+	p.mu.Unlock()
+	_ = client.Close() // Both directions have ended.
+	_ = target.Close()
+}
+
+// track remembers both sides of a connection; it returns false while connections are reset.
+func (p *Proxy) track(client, target net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.fault.(Reset); ok {
+		return false
+	}
+	p.open[client], p.open[target] = true, true
+	return true
+}
+
+// pass copies bytes in one direction until its source ends.
+func (p *Proxy) pass(from, to net.Conn, d direction) {
+	b := make([]byte, chunkBytes)
+	for {
+		n, err := from.Read(b)
+		p.wait(d)
+		if n > 0 {
+			if _, e := to.Write(b[:n]); e != nil {
+				reset(from)
+				return
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			_ = to.(*net.TCPConn).CloseWrite() // The other side may have closed already.
+			return
+		default:
+			reset(to)
+			return
+		}
+	}
+}
+
+// wait returns when bytes may pass in the direction.
+func (p *Proxy) wait(d direction) {
+	for {
+		p.mu.Lock()
+		fault, changed := p.fault, p.changed
+		p.mu.Unlock()
+		held := false
+		switch f := fault.(type) {
+		case Delay:
+			time.Sleep(f.By)
+		case Silence:
+			held = true
+		case HoldRequests:
+			held = d == toTarget
+		case HoldAnswers:
+			held = d == toClient
+		case Clear, Reset:
+		}
+		if !held {
+			return
+		}
+		<-changed
+	}
+}
+
+// reset closes a connection so that its other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // A closed connection needs no reset.
+	}
+	_ = c.Close()
+}
