--- a/cmd/standin/proxy/proxy.go
+++ b/cmd/standin/proxy/proxy.go
@@ -32,11 +32,11 @@
 // Silence holds what both sides send; new connections are accepted.
 type Silence struct{}
 
-// HoldRequests holds what clients send, and HoldAnswers what the target sends.
-type (
-	HoldRequests struct{}
-	HoldAnswers  struct{}
-)
+// HoldRequests holds what clients send.
+type HoldRequests struct{}
+
+// HoldAnswers holds what the target sends.
+type HoldAnswers struct{}
 
 // Reset ends every connection, also new ones, with a reset.
 type Reset struct{}
