--- a/cmd/standin/chaos/chaos.go
+++ b/cmd/standin/chaos/chaos.go
@@ -99,8 +99,8 @@
 	signalled time.Time
 	// started is the time of the last start.
 	started time.Time
-	// pauses counts the times for which the process was stopped.
-	pauses atomic.Int64
+	// pauses counts the times for which the process was stopped, and paused those that have not ended.
+	pauses, paused atomic.Int64
 }
 
 // Run plays one seed.
