--- a/cmd/standin/chaos/fault.go
+++ b/cmd/standin/chaos/fault.go
@@ -105,9 +105,7 @@
 		r.enter(server, "draining")
 		return func() { r.enter(server, "ready") }
 	case 6:
-		if r.revoked.CompareAndSwap(0, time.Now().UnixMilli()) {
-			r.publish(`"k1"`)
-		}
+		r.revoke()
 		return nil
 	default:
 		r.servers[server].Fail(backendFaults[g.IntN(len(backendFaults))], 1+g.IntN(5))
@@ -115,6 +113,20 @@
 	}
 }
 
+// revoke withdraws a key once; with even seeds the store is silent from just before until the bound is over, so that no
+// router can learn of it.
+func (r *run) revoke() {
+	if r.revoked.Load() > 0 {
+		return
+	}
+	if r.Seed%2 == 0 {
+		r.store.SetMode(fakst.Silent)
+		time.AfterFunc(revoke+calm, func() { r.store.SetMode(fakst.Serving) })
+	}
+	r.revoked.Store(time.Now().UnixMilli())
+	r.publish(`"k1"`)
+}
+
 // stop ends a process that is not already ending, and returns its restart.
 func (r *run) stop(p *process, s syscall.Signal) func() {
 	if !p.down.CompareAndSwap(false, true) {
