feed, mesh, member: Keep one copy of what stood twice

Cause: a reading of the whole change found the start time of a mesh twice, the revision of a follower beside the state that holds it, two waits of the same shape, the choice of a shard's owner beside that of a reader, and the hash of prompt parts in two packages. Behaviour stays: owners and readers are chosen by the same weights; no test, bound or constant changes.

--- a/assign/parts.go
+++ b/assign/parts.go
@@ -37,9 +37,12 @@
 	return parts{value.ListOf(rows...)}
 }
 
+// PartHash spreads parts whose ids are close to each other.
+func PartHash(part uint64) uint64 { return part * 0x9e3779b97f4a7c15 }
+
 // cell returns the place of a part.
 func cell(part uint64) (int, int) {
-	h := part * 0x9e3779b97f4a7c15 // Spreads parts whose ids are close to each other.
+	h := PartHash(part)
 	return int(h >> 32 % partRows), int(h >> 48 % partColumns)
 }
 
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -34,9 +34,8 @@
 
 // knowledge is what the follower publishes for readers in other goroutines.
 type knowledge struct {
-	view     *View
-	state    State
-	revision int64
+	view  *View
+	state State
 	// history holds the newest changes, the oldest first; it is complete after the revision since.
 	history value.List[value.FeedRecord]
 	since   int64
@@ -111,10 +110,7 @@
 		if f.yield() {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-f.Clock.After(pause/2 + rand.N(pause)):
-		}
+		f.sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, pauseMost)
 	}
 }
@@ -137,9 +133,14 @@
 	if c, ok := e.(Changed); !ok || len(c.Changes.Records) == 0 {
 		return
 	}
+	f.sleep(ctx, gatherTime)
+}
+
+// sleep waits for the time or for the end of ctx.
+func (f *Follower) sleep(ctx context.Context, t hoist.Millis) {
 	select {
 	case <-ctx.Done():
-	case <-f.Clock.After(gatherTime):
+	case <-f.Clock.After(t):
 	}
 }
 
@@ -191,7 +192,7 @@
 func (f *Follower) apply(e Event) {
 	old := f.known.Load()
 	f.state = f.state.Decide(e, f.Clock.Now())
-	k := &knowledge{view: f.state.View(), state: f.state, revision: f.state.Revision(), history: old.history, since: old.since}
+	k := &knowledge{view: f.state.View(), state: f.state, history: old.history, since: old.since}
 	switch e := e.(type) {
 	case Listed:
 		k.history, k.since = value.List[value.FeedRecord]{}, e.Changes.At
@@ -203,8 +204,8 @@
 	// Whoever sees the new view finds everything that follows from it.
 	f.OnView(old.view, k.view)
 	f.known.Store(k)
-	if k.revision > old.revision {
-		f.announce(k.revision)
+	if r := k.state.Revision(); r > old.state.Revision() {
+		f.announce(r)
 	}
 }
 
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -211,7 +211,7 @@
 // reply answers another instance with what is newer than its revision.
 func (f *Follower) reply(to string, q value.FeedAsk) {
 	k := f.known.Load()
-	a := value.FeedAnswer{}.WithRevision(max(k.revision, q.Revision())).WithAgeMs(int64(k.view.Age(f.Clock.Now()))).
+	a := value.FeedAnswer{}.WithRevision(max(k.state.Revision(), q.Revision())).WithAgeMs(int64(k.view.Age(f.Clock.Now()))).
 		WithGap(k.view.Table == nil).WithAway(k.state.away).WithWhole(q.Revision() < k.since)
 	switch {
 	case a.Gap():
--- a/member/rank.go
+++ b/member/rank.go
@@ -71,6 +71,11 @@
 	return capable
 }
 
+// Choose returns the capable member with the greatest weight for the key, or false when there is none.
+func Choose(members []value.Member, key string) (value.Member, bool) {
+	return first(candidates(Capable(members)), key)
+}
+
 // Rank returns the names in the order of their rendezvous weight for the key, the greatest first.
 func Rank(names []string, key string) []string {
 	h := xxhash.Sum64String(key)
--- a/member/view.go
+++ b/member/view.go
@@ -81,7 +81,7 @@
 			near = append(near, m)
 		}
 	}
-	m, _ := first(candidates(Capable(near)), watchKey)
+	m, _ := Choose(near, watchKey)
 	return m.Name()
 }
 
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -89,7 +89,7 @@
 // parts of the fleet that do not know each other meet.
 func (m *Mesh) join(now hoist.Millis) {
 	interval := joinInterval
-	if now-m.started > joinTime {
+	if now-m.begun > joinTime {
 		interval = syncInterval
 	}
 	if m.joined > 0 && now-m.joined < interval {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -85,7 +85,6 @@
 	state     member.State
 	exchanges map[uint64]exchange
 	number    uint64
-	started   hoist.Millis
 	joined    hoist.Millis
 	turn      int
 }
@@ -137,7 +136,6 @@
 	tick := time.NewTicker(heartbeat.Duration())
 	defer tick.Stop()
 	last := m.Clock.Now()
-	m.started = last
 	m.join(last)
 	for {
 		var in input
--- a/relay/service.go
+++ b/relay/service.go
@@ -115,7 +115,7 @@
 	}
 	key := xxhash.Sum64String(q.ID)
 	if n := q.Parts.Len(); n > 1 {
-		key = q.Parts.At(n-2).Id() * 0x9e3779b97f4a7c15 // Spreads parts whose ids are close to each other.
+		key = assign.PartHash(q.Parts.At(n - 2).Id())
 	}
 	return s.desks[key%uint64(len(s.desks))]
 }
@@ -140,14 +140,8 @@
 	if v.Stale() {
 		return ""
 	}
-	var names []string
-	for _, m := range member.Capable(v.Members()) {
-		names = append(names, m.Name())
-	}
-	if len(names) == 0 {
-		return ""
-	}
-	return member.Rank(names, shard)[0]
+	m, _ := member.Choose(v.Members(), shard)
+	return m.Name()
 }
 
 // Changed takes over a new view of the live instances.
