config: Accept numbers of the platform's settings in any form

A time of fractions of a second would have been rendered as "8.5000". An explicit zero was replaced by the default without a finding. Change: limits, bounds and rates are numbers; the template leaves out what the platform does not state; an explicit zero that cannot be served is a finding that names the key. The share of retries comes from the platform. The check that it is at most 1 goes, because a larger share can be served: each request is retried once. Defaults of the budget go with it: without a stated budget there are no retries. The reference says "number" for such keys. Ruled out: rounding in the template, which cannot calculate.

--- a/clock.go
+++ b/clock.go
@@ -20,6 +20,15 @@
 // Duration returns the duration as a time.Duration.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
+// maxMillis bounds durations from settings so that they can be added to a point in time and converted to time.Duration.
+const maxMillis = 1 << 40
+
+// MillisOfFloat returns a number of milliseconds, rounded toward zero and limited to 34 years.
+func MillisOfFloat(ms float64) Millis { return Millis(max(0, min(ms, maxMillis))) }
+
+// MillisOfSeconds returns a number of seconds in milliseconds, limited to 34 years.
+func MillisOfSeconds(s float64) Millis { return MillisOfFloat(s * float64(Second)) }
+
 // MillisOf returns the duration in whole milliseconds, rounded toward zero.
 func MillisOf(d time.Duration) Millis { return Millis(d / time.Millisecond) }
 
--- a/cmd/hoistgen/reference.go
+++ b/cmd/hoistgen/reference.go
@@ -50,6 +50,8 @@
 		t = "string"
 	case protoreflect.BoolKind:
 		t = "boolean"
+	case protoreflect.DoubleKind:
+		t = "number"
 	default:
 		t = "integer"
 	}
--- a/cmd/standin/chaos/chaos.go
+++ b/cmd/standin/chaos/chaos.go
@@ -217,8 +217,11 @@
 address = "127.1.%[9]d.%[1]d:%[3]d"
 seeds = ["127.1.%[9]d.1:1", "127.1.%[9]d.2:1"]
 [bounds]
-grace_ms = %[7]d
+grace_s = %[7]g
 revoke_ms = %[8]d
+[retries]
+share = 0.2
+slack = 50
 `
 
 // Ports and data centres of the instances.
@@ -247,7 +250,7 @@
 		return err
 	}
 	p := &process{url: "http://" + callers, settingsFile: filepath.Join(r.dir, fmt.Sprintf("n%d.toml", i+1))}
-	text := fmt.Sprintf(settingsFormat, i+1, i%datacentres, callersPort, readyPort, metricsPort, store, shutdownGrace.Milliseconds(), revocationBound.Milliseconds(), r.network())
+	text := fmt.Sprintf(settingsFormat, i+1, i%datacentres, callersPort, readyPort, metricsPort, store, shutdownGrace.Seconds(), revocationBound.Milliseconds(), r.network())
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -52,8 +52,11 @@
 address = "%[6]s"
 seeds = ["%[6]s"]
 [bounds]
-grace_ms = 6000
+grace_s = 6
 revoke_ms = 1500
+[retries]
+share = 0.2
+slack = 50
 `
 
 // environment is one instance with its store and its servers.
--- a/config/forward.go
+++ b/config/forward.go
@@ -10,16 +10,15 @@
 func ParseForwardSettings(file string, content []byte) (value.ForwardSettings, hoist.Findings) {
 	m := &wire.ForwardSettings{}
 	p, findings := decode(file, content, m)
-	fillDefaults(m.ProtoReflect())
-	s := wire.ForwardSettingsValue(m)
-	findings = append(findings, checkForward(s, p)...)
+	findings = append(findings, checkForward(wire.ForwardSettingsValue(m), p)...)
 	if len(findings) > 0 {
 		return value.ForwardSettings{}, findings.Sorted()
 	}
-	return s, nil
+	fillDefaults(m.ProtoReflect())
+	return wire.ForwardSettingsValue(m), nil
 }
 
-// checkForward returns the findings about the decoded settings of a forwarding router.
+// checkForward returns the findings about the decoded settings of a forwarding router, before defaults are applied.
 func checkForward(s value.ForwardSettings, p *positions) hoist.Findings {
 	if p.incomplete {
 		return nil
@@ -38,21 +37,19 @@
 	peers := tableCheck{root, "peers"}
 	peers.checkAddress("address", s.Peers().Address())
 	bounds := tableCheck{root, "bounds"}
-	bounds.checkPositive("grace_ms", s.Bounds().GraceMs())
+	bounds.checkPositive("grace_s", s.Bounds().GraceS())
 	bounds.checkPositive("revoke_ms", s.Bounds().RevokeMs())
 	resources := tableCheck{root, "resources"}
 	resources.checkPositive("memory_mib", s.Resources().MemoryMib())
 	resources.checkPositive("cores", s.Resources().Cores())
-	retries := tableCheck{root, "retries"}
-	if n := s.Retries().Permille(); n < 0 || n > 1000 {
-		retries.report("permille", "must be between 0 and 1000, not %d", n)
-	}
+	resources.checkPositive("core_share", s.Resources().CoreShare())
+	resources.checkPositive("link_mbps", s.Resources().LinkMbps())
 	return r.findings
 }
 
-// checkPositive reports a number that is not above zero.
-func (t tableCheck) checkPositive(key string, n int64) {
-	if n <= 0 {
-		t.report(key, "must be above 0, not %d", n)
+// checkPositive reports a number of the document that is not above zero; a key without a value gets its default.
+func (t tableCheck) checkPositive(key string, n float64) {
+	if n <= 0 && t.written(t.key(t.entry, t.table), key) {
+		t.report(key, "must be above 0, not %g", n)
 	}
 }
--- a/config/positions.go
+++ b/config/positions.go
@@ -74,6 +74,12 @@
 	return e
 }
 
+// written reports whether the document sets the key of the table.
+func (p *positions) written(e entry, name string) bool {
+	_, ok := p.entries[entryKey{e.id, name, -1}]
+	return ok
+}
+
 // item returns the entry of the list item, or that of the list if the document has no such item.
 func (p *positions) item(e entry, name string, i int) entry {
 	if child, ok := p.entries[entryKey{e.id, name, int32(i)}]; ok {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,10 @@
 	exitMargin = 300 * hoist.Millis(1)
 	// heapLimitTenths is the memory limit of the Go runtime, in tenths of the memory of the instance.
 	heapLimitTenths = 7
+	// maxCores and maxMemoryMib bound the configured resources to what the Go runtime accepts.
+	maxCores     = 1024
+	maxMemoryMib = 1 << 40
+	bytesPerMib  = 1 << 20
 	// gcPercent is the heap growth between two garbage collections; the heap is small, so more frequent collections
 	// cost little.
 	gcPercent = 50
@@ -94,7 +98,7 @@
 	o := do.MustInvoke[Options](i)
 	return feed.NewFollower(feed.Options{
 		Source: o.Source, Clock: do.MustInvoke[hoist.Clock](i), Log: do.MustInvoke[*event.Log](i),
-		WatchTimeout: hoist.Millis(o.Settings.Bounds().RevokeMs()) / watchDivisor, Mesh: do.MustInvoke[*mesh.Mesh](i),
+		WatchTimeout: hoist.MillisOfFloat(o.Settings.Bounds().RevokeMs()) / watchDivisor, Mesh: do.MustInvoke[*mesh.Mesh](i),
 	}), nil
 }
 
@@ -156,8 +160,8 @@
 
 // Tune sets the limits of the Go runtime according to the resources of the instance.
 func Tune(r value.ForwardResources) {
-	runtime.GOMAXPROCS(int(max(r.Cores(), 1)))
-	debug.SetMemoryLimit(r.MemoryMib() << 20 * heapLimitTenths / 10)
+	runtime.GOMAXPROCS(int(min(max(r.Cores(), 1), maxCores)))
+	debug.SetMemoryLimit(int64(min(r.MemoryMib(), maxMemoryMib) * bytesPerMib * heapLimitTenths / 10))
 	debug.SetGCPercent(gcPercent)
 }
 
@@ -229,7 +233,7 @@
 	p.edge.Drain()
 	p.mesh.Submit(member.DrainStarted{})
 	p.log.Write(event.Drain, logrus.Fields{"requests": p.relay.Active()})
-	deadline := start + hoist.Millis(p.settings.Bounds().GraceMs()) - exitMargin
+	deadline := start + hoist.MillisOfSeconds(p.settings.Bounds().GraceS()) - exitMargin
 	for now := start; now < deadline; now = <-p.clock.After(drainPollInterval) {
 		if now-start >= minDrainTime && p.relay.Active() == 0 {
 			ctx, cancel := context.WithTimeout(context.Background(), (deadline - now).Duration())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -91,7 +91,7 @@
 	if drainStart == 0 || q.Arrived-drainStart <= drainAcceptTime {
 		return true
 	}
-	timeLeft := drainStart + hoist.Millis(s.relay.Settings.Bounds().GraceMs()) - drainExitMargin - q.Arrived
+	timeLeft := drainStart + hoist.MillisOfSeconds(s.relay.Settings.Bounds().GraceS()) - drainExitMargin - q.Arrived
 	return q.Timeout > 0 && q.Timeout <= timeLeft
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,7 +81,7 @@
 
 // KeysCurrent reports whether the store view is recent enough to check keys.
 func (r *Relay) KeysCurrent(now hoist.Millis) bool {
-	return r.Follower.View().Age(now) <= hoist.Millis(r.Settings.Bounds().RevokeMs())*keyAgeTenths/10
+	return r.Follower.View().Age(now) <= hoist.MillisOfFloat(r.Settings.Bounds().RevokeMs())*keyAgeTenths/10
 }
 
 // Ready reports whether the instance can serve callers.
@@ -132,7 +132,7 @@
 		j.record()
 		return
 	}
-	j.service.refillBudget(r.Settings.Retries().Permille() * budgetTenths / 10)
+	j.service.refillBudget(r.retryShare())
 	ctx, cancel := context.WithTimeoutCause(ctx, (j.progress.Deadline - r.Clock.Now()).Duration(), errDeadline)
 	defer cancel()
 	j.serve(ctx)
--- a/relay/service.go
+++ b/relay/service.go
@@ -90,7 +90,13 @@
 	if v := r.members.Load(); v != nil {
 		members = len(v.Members())
 	}
-	return min(max(r.Settings.Retries().Slack()/int64(burstDivisor*members), 1), maxRetryBurst)
+	return int64(min(max(r.Settings.Retries().Slack()/float64(burstDivisor*members), 1), maxRetryBurst))
+}
+
+// retryShare returns the share of the requests that may be retried, in the unit of retry.Bucket.Filled; more than one
+// retry of each request serves nobody.
+func (r *Relay) retryShare() int64 {
+	return int64(min(r.Settings.Retries().Share(), 1) * retry.FullShare * budgetTenths / 10)
 }
 
 // newDispatcher starts a dispatcher.
--- a/retry/bucket.go
+++ b/retry/bucket.go
@@ -1,5 +1,8 @@
 package retry
 
+// FullShare is the share passed to Bucket.Filled that adds one unit for each unit of regular traffic.
+const FullShare = unitScale
+
 // unitScale is the value of one unit, an attempt or a token; levels are stored in thousandths of a unit.
 const unitScale = 1000
 
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -170,26 +170,26 @@
 
 // ForwardResources limits the resources of the process.
 type ForwardResources struct {
-	memoryMib int64
-	cores     int64
+	memoryMib float64
+	cores     float64
 	coreShare float64
 	linkMbps  float64
 }
 
 // MemoryMib returns the field's value. Memory, in mebibytes; default 128.
-func (f ForwardResources) MemoryMib() int64 { return f.memoryMib }
+func (f ForwardResources) MemoryMib() float64 { return f.memoryMib }
 
 // WithMemoryMib returns a copy with the field replaced.
-func (f ForwardResources) WithMemoryMib(v int64) ForwardResources {
+func (f ForwardResources) WithMemoryMib(v float64) ForwardResources {
 	f.memoryMib = v
 	return f
 }
 
-// Cores returns the field's value. Number of cores that run goroutines in parallel; default 1.
-func (f ForwardResources) Cores() int64 { return f.cores }
+// Cores returns the field's value. Number of cores that run goroutines in parallel, rounded down but at least one; default 1.
+func (f ForwardResources) Cores() float64 { return f.cores }
 
 // WithCores returns a copy with the field replaced.
-func (f ForwardResources) WithCores(v int64) ForwardResources {
+func (f ForwardResources) WithCores(v float64) ForwardResources {
 	f.cores = v
 	return f
 }
@@ -214,48 +214,48 @@
 
 // ForwardBounds holds the time limits that the deployment guarantees.
 type ForwardBounds struct {
-	graceMs  int64
-	revokeMs int64
+	graceS   float64
+	revokeMs float64
 }
 
-// GraceMs returns the field's value. Time from SIGTERM to SIGKILL, in milliseconds; default 8000.
-func (f ForwardBounds) GraceMs() int64 { return f.graceMs }
+// GraceS returns the field's value. Time from SIGTERM to SIGKILL, in seconds; default 8.
+func (f ForwardBounds) GraceS() float64 { return f.graceS }
 
-// WithGraceMs returns a copy with the field replaced.
-func (f ForwardBounds) WithGraceMs(v int64) ForwardBounds {
-	f.graceMs = v
+// WithGraceS returns a copy with the field replaced.
+func (f ForwardBounds) WithGraceS(v float64) ForwardBounds {
+	f.graceS = v
 	return f
 }
 
 // RevokeMs returns the field's value. Time within which every instance must reject a revoked key, in milliseconds; default 5000.
-func (f ForwardBounds) RevokeMs() int64 { return f.revokeMs }
+func (f ForwardBounds) RevokeMs() float64 { return f.revokeMs }
 
 // WithRevokeMs returns a copy with the field replaced.
-func (f ForwardBounds) WithRevokeMs(v int64) ForwardBounds {
+func (f ForwardBounds) WithRevokeMs(v float64) ForwardBounds {
 	f.revokeMs = v
 	return f
 }
 
 // ForwardRetries limits the retries of requests.
 type ForwardRetries struct {
-	permille int64
-	slack    int64
+	share float64
+	slack float64
 }
 
-// Permille returns the field's value. Share of requests to a service that may be retried, in thousandths; default 200.
-func (f ForwardRetries) Permille() int64 { return f.permille }
+// Share returns the field's value. Share of the requests to a service that may be retried, 0.2 for one in five; if absent, only the slack is used.
+func (f ForwardRetries) Share() float64 { return f.share }
 
-// WithPermille returns a copy with the field replaced.
-func (f ForwardRetries) WithPermille(v int64) ForwardRetries {
-	f.permille = v
+// WithShare returns a copy with the field replaced.
+func (f ForwardRetries) WithShare(v float64) ForwardRetries {
+	f.share = v
 	return f
 }
 
-// Slack returns the field's value. Number of retries that the whole fleet may make in each window in addition to the share; default 50.
-func (f ForwardRetries) Slack() int64 { return f.slack }
+// Slack returns the field's value. Number of retries that the whole fleet may make in each window in addition to the share; none if absent.
+func (f ForwardRetries) Slack() float64 { return f.slack }
 
 // WithSlack returns a copy with the field replaced.
-func (f ForwardRetries) WithSlack(v int64) ForwardRetries {
+func (f ForwardRetries) WithSlack(v float64) ForwardRetries {
 	f.slack = v
 	return f
 }
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -145,7 +145,7 @@
 // ForwardBoundsValue returns the immutable value of the message.
 func ForwardBoundsValue(m *ForwardBounds) value.ForwardBounds {
 	var v value.ForwardBounds
-	v = v.WithGraceMs(m.GetGraceMs())
+	v = v.WithGraceS(m.GetGraceS())
 	v = v.WithRevokeMs(m.GetRevokeMs())
 	return v
 }
@@ -153,7 +153,7 @@
 // ForwardBoundsWire returns the message of the immutable value.
 func ForwardBoundsWire(v value.ForwardBounds) *ForwardBounds {
 	m := &ForwardBounds{}
-	m.SetGraceMs(v.GraceMs())
+	m.SetGraceS(v.GraceS())
 	m.SetRevokeMs(v.RevokeMs())
 	return m
 }
@@ -161,7 +161,7 @@
 // ForwardRetriesValue returns the immutable value of the message.
 func ForwardRetriesValue(m *ForwardRetries) value.ForwardRetries {
 	var v value.ForwardRetries
-	v = v.WithPermille(m.GetPermille())
+	v = v.WithShare(m.GetShare())
 	v = v.WithSlack(m.GetSlack())
 	return v
 }
@@ -169,7 +169,7 @@
 // ForwardRetriesWire returns the message of the immutable value.
 func ForwardRetriesWire(v value.ForwardRetries) *ForwardRetries {
 	m := &ForwardRetries{}
-	m.SetPermille(v.Permille())
+	m.SetShare(v.Share())
 	m.SetSlack(v.Slack())
 	return m
 }
