assign, relay: Count the retry budget of the fleet at the shard owner

Cause: each instance held its own share of the retry budget, and with 195 instances the burst of each was one retry, so the budget of the fleet was stranded where no request failed. Change: an attempt that follows one that reached a server is marked, and the owner of the shard, which sees every attempt, charges it; first attempts fill the budget with 0.8 of the share. The slack has three parts: for the owners, for a second set of owners while the instances disagree, and for the instances that reach no owner, which get none where the part is less than one each. A repeated question is charged once. A request that gets no further attempt ends with the server's own error, if there is one.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -40,7 +40,7 @@
 // work parses the request of a line; prompt parts have the form ID:TOKENS.
 func work(l golden.Line) value.Work {
 	w := value.Work{}.WithId(uint64(l.Int("id"))).WithRank(int32(l.Int("rank"))).WithArrivedMs(l.Int("at")).WithTargetMs(250).
-		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x")
+		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x").WithRetry(l.Has("retry"))
 	if l.Has("end") {
 		w = w.WithEndMs(l.Int("end"))
 	}
@@ -98,6 +98,10 @@
 		return assign.RunsReported{Origin: l.Text("from"), Granted: granted(l), Runs: runs(l)}
 	case "lost":
 		return assign.InstanceLost{Origin: l.Text("from")}
+	case "owner-limits":
+		return assign.RetryLimitsChanged{Limits: assign.OwnerRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")))}
+	case "local-limits":
+		return assign.RetryLimitsChanged{Limits: assign.LocalRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")), int(l.Int("instances")))}
 	case "tick":
 		return assign.Ticked{}
 	default:
--- a/assign/event.go
+++ b/assign/event.go
@@ -57,18 +57,22 @@
 // InstanceLost reports that an instance is lost, and its requests with it.
 type InstanceLost struct{ Origin string }
 
+// RetryLimitsChanged reports new limits of the retries that the state may grant.
+type RetryLimitsChanged struct{ Limits RetryLimits }
+
 // Ticked reports that time has passed.
 type Ticked struct{}
 
-func (Submitted) isEvent()      {}
-func (Cancelled) isEvent()      {}
-func (Responded) isEvent()      {}
-func (Finished) isEvent()       {}
-func (ServersUpdated) isEvent() {}
-func (Placed) isEvent()         {}
-func (RunsReported) isEvent()   {}
-func (InstanceLost) isEvent()   {}
-func (Ticked) isEvent()         {}
+func (Submitted) isEvent()          {}
+func (Cancelled) isEvent()          {}
+func (Responded) isEvent()          {}
+func (Finished) isEvent()           {}
+func (ServersUpdated) isEvent()     {}
+func (Placed) isEvent()             {}
+func (RunsReported) isEvent()       {}
+func (InstanceLost) isEvent()       {}
+func (RetryLimitsChanged) isEvent() {}
+func (Ticked) isEvent()             {}
 
 // Result is how a request ended at its server.
 type Result int
@@ -141,6 +145,8 @@
 	NoServer Reason = iota
 	// Overload means that no server can run the request before its deadline.
 	Overload
+	// RetryLimit means that the request has run and the retry budget does not cover another attempt.
+	RetryLimit
 )
 
 // String returns the reason in lower case.
@@ -150,6 +156,8 @@
 		return "no server"
 	case Overload:
 		return "overload"
+	case RetryLimit:
+		return "retry limit"
 	default:
 		return "unknown"
 	}
--- a/assign/state.go
+++ b/assign/state.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/retry"
 	"chicoryhoist.example/hoist/value"
 )
 
@@ -14,10 +15,15 @@
 	// waiting is the queue, ordered by rank and then by arrival.
 	waiting value.List[value.Work]
 	cache   promptCache
+	// retryBudget holds the retries that the state may still grant.
+	retryBudget retry.Bucket
+	retryLimits RetryLimits
 }
 
 // New returns the state of a shard without servers.
-func New() State { return State{cache: newPromptCache()} }
+func New() State {
+	return State{cache: newPromptCache(), retryBudget: retry.NewBucket(initialRetries, initialRetries)}
+}
 
 // Waiting returns the number of queued requests.
 func (s State) Waiting() int { return s.waiting.Len() }
@@ -88,7 +94,7 @@
 	var effects []Effect
 	switch e := e.(type) {
 	case Submitted:
-		s, effects = s.submit(e.Work)
+		s, effects = s.submit(e.Work, now)
 	case Cancelled:
 		s = s.withoutWaiting(e.ID)
 	case Responded:
@@ -109,6 +115,8 @@
 		s = s.withReconciled(e, now)
 	case InstanceLost:
 		s = s.withoutInstance(e.Origin)
+	case RetryLimitsChanged:
+		s = s.withRetryLimits(e.Limits)
 	case Ticked:
 	}
 	s, more := s.schedule(now)
@@ -137,13 +145,20 @@
 	return now + queuePollInterval, true
 }
 
-// submit queues a request. If the request already runs, its grant is repeated.
-func (s State) submit(w value.Work) (State, []Effect) {
+// submit queues a request, unless it is a retry that the budget does not cover. If the request already runs, its grant is
+// repeated.
+func (s State) submit(w value.Work, now hoist.Millis) (State, []Effect) {
 	for x := range s.servers.All() {
 		if i := x.find(w.Id()); i >= 0 {
 			return s, []Effect{Grant{w.Id(), w.Origin(), x.entry, Estimate{UncachedTokens: x.runs.At(i).uncached}}}
 		}
 	}
+	if !s.isQueued(w.Id()) {
+		var ok bool
+		if s, ok = s.charged(w); !ok {
+			return s, []Effect{Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), RetryLimit}}
+		}
+	}
 	s = s.withoutWaiting(w.Id())
 	at, _ := slices.BinarySearchFunc(slices.Collect(s.waiting.All()), w, compareWork)
 	s.waiting = s.waiting.Insert(at, w)
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -56,6 +56,9 @@
 	done    <-chan struct{}
 	// ownerBackoffUntil is the time until which the owner gets no placement requests.
 	ownerBackoffUntil atomic.Int64
+	// retryLimits are the limits last passed to the state; limitsMu guards them.
+	limitsMu    sync.Mutex
+	retryLimits assign.RetryLimits
 }
 
 // run processes events until the dispatcher is stopped.
@@ -153,6 +156,20 @@
 	}
 }
 
+// limitRetries sets the limits of the retries that this instance grants as the owner of the shard, and otherwise.
+func (d *dispatcher) limitRetries(owner, local assign.RetryLimits) {
+	d.limitsMu.Lock()
+	defer d.limitsMu.Unlock()
+	l := local
+	if *d.owner.Load() == d.self {
+		l = owner
+	}
+	if d.retryLimits != l {
+		d.retryLimits = l
+		d.post(assign.RetryLimitsChanged{Limits: l})
+	}
+}
+
 // responseBufferSize is the number of placement responses that are buffered for one request: a few copies of each
 // verdict.
 const responseBufferSize = 8
--- a/relay/progress.go
+++ b/relay/progress.go
@@ -45,7 +45,8 @@
 //sumtype:decl
 type Step interface{ isStep() }
 
-// Retry requests another server. If Charged is set, the retry counts against the retry budget.
+// Retry requests another server. If Charged is set, the retry counts against the retry budget, and the shard owner
+// rejects it if the budget is exhausted.
 type Retry struct{ Charged bool }
 
 // ForwardError forwards the server's error response.
@@ -94,26 +95,25 @@
 	Deadline hoist.Millis
 }
 
-// Next returns the progress after an attempt and the next step; mayCharge says whether a retry may be charged to the
-// retry budget.
-func (p Progress) Next(o Outcome, mayCharge bool, now hoist.Millis) (Progress, Step) {
+// Next returns the progress after an attempt and the next step.
+func (p Progress) Next(o Outcome, now hoist.Millis) (Progress, Step) {
 	p.Sends++
 	switch o.(type) {
 	case Completed, CallerDisconnected:
 		return p, Finish{}
 	case Unsent:
-		return p, p.stepNotRun(true, false, now)
+		return p, p.stepNotRun(false, now)
 	case NotRun:
-		return p, p.stepNotRun(mayCharge, true, now)
+		return p, p.stepNotRun(true, now)
 	case ResponseLost:
 		p.Runs++
-		return p, p.stepAfterRun(mayCharge, now, Fail{})
+		return p, p.stepAfterRun(now, Fail{})
 	case ServerError:
 		p.Runs++
-		return p, p.stepAfterRun(mayCharge, now, ForwardError{})
+		return p, p.stepAfterRun(now, ForwardError{})
 	case Interrupted:
 		p.Runs++
-		return p, p.stepAfterRun(mayCharge, now, Abort{})
+		return p, p.stepAfterRun(now, Abort{})
 	case Expired:
 		p.Runs++
 		if p.Started {
@@ -125,10 +125,25 @@
 	}
 }
 
+// StepUnplaced returns the step if no server was granted for the next attempt; hasError says whether a server has returned
+// an error response.
+func (p Progress) StepUnplaced(hasError bool) Step {
+	switch {
+	case p.Started:
+		return Abort{}
+	case hasError:
+		return ForwardError{}
+	case p.Runs > 0:
+		return Fail{}
+	default:
+		return Reject{}
+	}
+}
+
 // stepNotRun returns the step after an attempt that has not run.
-func (p Progress) stepNotRun(mayCharge, charged bool, now hoist.Millis) Step {
+func (p Progress) stepNotRun(charged bool, now hoist.Millis) Step {
 	switch {
-	case mayCharge && p.Sends < maxSends && now+minTimeLeft < p.Deadline:
+	case p.Sends < maxSends && now+minTimeLeft < p.Deadline:
 		return Retry{Charged: charged}
 	case p.Started:
 		return Abort{}
@@ -141,8 +156,8 @@
 
 // stepAfterRun returns the step after an attempt that may have run: a retry if one is allowed, otherwise Abort if a
 // part of a response was forwarded, and the given step if not.
-func (p Progress) stepAfterRun(mayCharge bool, now hoist.Millis, otherwise Step) Step {
-	if p.Repeatable && p.Runs < p.MaxRuns && mayCharge && p.Sends < maxSends && now+minTimeLeft < p.Deadline {
+func (p Progress) stepAfterRun(now hoist.Millis, otherwise Step) Step {
+	if p.Repeatable && p.Runs < p.MaxRuns && p.Sends < maxSends && now+minTimeLeft < p.Deadline {
 		return Retry{Charged: true}
 	}
 	if p.Started {
--- a/relay/progress_test.go
+++ b/relay/progress_test.go
@@ -33,11 +33,15 @@
 			p = relay.Progress{Repeatable: l.Has("repeatable"), MaxRuns: int(l.Int("attempts")), Deadline: hoist.Millis(l.Int("end"))}
 			return ""
 		}
+		if l.Verb == "unplaced" {
+			step := p.StepUnplaced(l.Has("error"))
+			return strings.TrimPrefix(fmt.Sprintf("%T%+v", step, step), "relay.")
+		}
 		o, ok := outcomes[l.Verb]
 		Expect(ok).To(BeTrue(), l.Verb)
 		p.Started = p.Started || l.Has("started")
 		var step relay.Step
-		p, step = p.Next(o, !l.Has("no-budget"), hoist.Millis(l.Int("at")))
+		p, step = p.Next(o, hoist.Millis(l.Int("at")))
 		return strings.TrimPrefix(fmt.Sprintf("%T%+v", step, step), "relay.")
 	})).To(golden.Match(c.Path))
 }, func() []TableEntry {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,11 +24,6 @@
 const (
 	// DefaultTimeout is the timeout of requests without a deadline header.
 	DefaultTimeout = 60 * hoist.Second
-	// maxRetryBurst bounds the number of retries that one instance may send at once.
-	maxRetryBurst = 8
-	// burstDivisor divides the retry slack of the deployment into the amount that the bursts of all instances may
-	// take together; the remainder covers instances that do not know of each other.
-	burstDivisor = 2
 	// budgetTenths is the fraction, in tenths, of the fleet's retry share that refills the budgets; the remainder
 	// covers load that is uneven over time.
 	budgetTenths = 8
@@ -103,6 +98,8 @@
 	serviceName string
 	progress    Progress
 	avoid       value.List[string]
+	// charged is set if the next attempt counts against the retry budget.
+	charged bool
 	// lastEventID is the ID of the last forwarded event; it is valid if hasEventID is set.
 	lastEventID int64
 	hasEventID  bool
@@ -132,7 +129,6 @@
 		j.record()
 		return
 	}
-	j.service.refillBudget(r.retryShare())
 	ctx, cancel := context.WithTimeoutCause(ctx, (j.progress.Deadline - r.Clock.Now()).Duration(), errDeadline)
 	defer cancel()
 	j.serve(ctx)
@@ -199,9 +195,9 @@
 		j.grantTime = j.Clock.Now() - j.request.Arrived
 		o := j.sendGranted(ctx, id)
 		var step Step
-		j.progress, step = j.progress.Next(o, j.chargeRetry(o), j.Clock.Now())
-		if _, retry := step.(Retry); retry {
-			j.avoid = j.avoid.Append(j.server)
+		j.progress, step = j.progress.Next(o, j.Clock.Now())
+		if r, retry := step.(Retry); retry {
+			j.avoid, j.charged = j.avoid.Append(j.server), r.Charged
 			continue
 		}
 		j.finish(step)
@@ -219,40 +215,25 @@
 	return j.attempt(ctx, id, s)
 }
 
-// chargeRetry takes a retry out of the budget if the outcome may lead to a second transmission of the request. It
-// returns false if the budget is exhausted or the request must not run again.
-func (j *job) chargeRetry(o Outcome) bool {
-	switch o.(type) {
-	case NotRun:
-		return j.service.takeRetry()
-	case ResponseLost, ServerError, Interrupted:
-		return j.progress.Repeatable && j.progress.Runs+1 < j.progress.MaxRuns && j.service.takeRetry()
-	default:
-		return true
-	}
-}
-
 // finishUnplaced ends a request for which no server was found.
 func (j *job) finishUnplaced(ctx context.Context, a value.PlaceAnswer) {
-	switch {
-	case ctx.Err() != nil && !deadlineExpired(ctx):
+	if ctx.Err() != nil && !deadlineExpired(ctx) {
 		j.result = "caller left"
-	case j.progress.Started:
-		j.finish(Abort{})
-	case j.progress.Runs > 0:
-		j.finish(Fail{})
-	case a.Verdict() == value.PlaceVerdictRefused:
+		return
+	}
+	step := j.progress.StepUnplaced(j.errorResponse != nil)
+	if _, ok := step.(Reject); ok && a.Verdict() == value.PlaceVerdictRefused {
 		j.reject(Overloaded{After: hoist.Millis(a.AfterMs())})
-	default:
-		j.finish(Reject{})
+		return
 	}
+	j.finish(step)
 }
 
 // work returns the description of the request that the dispatcher needs.
 func (j *job) work(id uint64) value.Work {
 	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
 		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.Deadline)).WithAvoid(j.avoid).
-		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre())
+		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged)
 }
 
 // finish carries out the last step of the request.
--- a/relay/service.go
+++ b/relay/service.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"slices"
-	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
-	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/assign"
 	"chicoryhoist.example/hoist/feed"
 	"chicoryhoist.example/hoist/member"
@@ -19,10 +17,9 @@
 // well as a larger one, and its owner handles a bounded number of requests.
 const serversPerShard = 24
 
-// service is one service with the dispatchers of its shards and its retry budget.
+// service is one service with the dispatchers of its shards.
 type service struct {
 	dispatchers []*dispatcher
-	retryBudget atomic.Pointer[retry.Bucket]
 }
 
 // shardCount returns the number of shards for a number of servers.
@@ -55,17 +52,13 @@
 	r.Client.Retain(func(a string) bool { return addresses[a] })
 }
 
-// withShards returns the service with its servers divided among its shards. It keeps the dispatchers and the retry
-// budget of the old service.
+// withShards returns the service with its servers divided among its shards. It keeps the dispatchers of the old service.
 func (r *Relay) withShards(name string, old *service, servers []value.BackendServer) *service {
 	n := shardCount(len(servers))
 	s := old
 	if s == nil || len(s.dispatchers) != n {
 		s = &service{}
-		b := retry.NewBucket(r.retryBurst(), r.retryBurst())
-		s.retryBudget.Store(&b)
 		if old != nil {
-			s.retryBudget.Store(old.retryBudget.Load())
 			s.dispatchers = slices.Clone(old.dispatchers[:min(n, len(old.dispatchers))])
 		}
 		for i := len(s.dispatchers); i < n; i++ {
@@ -80,22 +73,26 @@
 	for i, d := range s.dispatchers {
 		d.post(assign.ServersUpdated{Servers: value.ListOf(lists[i]...)})
 	}
+	r.limitRetries(s)
 	return s
 }
 
-// retryBurst returns the number of retries that this instance may send at once: its share of the slack among the live
-// instances.
-func (r *Relay) retryBurst() int64 {
-	members := 1
+// limitRetries passes the limits of retries to the dispatchers of the service, which depend on the shards that this
+// instance owns and on the number of instances.
+func (r *Relay) limitRetries(s *service) {
+	instances := 1
 	if v := r.members.Load(); v != nil {
-		members = len(v.Members())
+		instances = len(v.Members())
+	}
+	slack, shards := r.Settings.Retries().Slack(), len(s.dispatchers)
+	for _, d := range s.dispatchers {
+		d.limitRetries(assign.OwnerRetryLimits(slack, r.retryPermille(), shards), assign.LocalRetryLimits(slack, r.retryPermille(), shards, instances))
 	}
-	return int64(min(max(r.Settings.Retries().Slack()/float64(burstDivisor*members), 1), maxRetryBurst))
 }
 
-// retryShare returns the share of the requests that may be retried, in the unit of retry.Bucket.Filled; more than one
-// retry of each request serves nobody.
-func (r *Relay) retryShare() int64 {
+// retryPermille returns the number of retries that a thousand requests earn; more than one retry of each request serves
+// nobody.
+func (r *Relay) retryPermille() int64 {
 	return int64(min(r.Settings.Retries().Share(), 1) * retry.FullShare * budgetTenths / 10)
 }
 
@@ -129,21 +126,6 @@
 	return s.dispatchers[key%uint64(len(s.dispatchers))]
 }
 
-// refillBudget adds the share of one request to the retry budget.
-func (s *service) refillBudget(permille int64) {
-	hoist.Update(&s.retryBudget, func(b retry.Bucket) retry.Bucket { return b.Filled(1, permille) })
-}
-
-// takeRetry takes one retry out of the budget; it returns false if the budget is exhausted.
-func (s *service) takeRetry() bool {
-	allowed := false
-	hoist.Update(&s.retryBudget, func(b retry.Bucket) retry.Bucket {
-		b, allowed = b.Taken(1)
-		return b
-	})
-	return allowed
-}
-
 // ownerOf returns the owner of the shard in the view; it returns an empty name if the view is stale.
 func ownerOf(v *member.View, shard string) string {
 	if v.Stale() {
@@ -165,13 +147,13 @@
 		}
 	}
 	for _, s := range *r.services.Load() {
-		hoist.Update(&s.retryBudget, func(b retry.Bucket) retry.Bucket { return b.WithCapacity(r.retryBurst()) })
 		for _, d := range s.dispatchers {
 			d.setOwner(ownerOf(v, d.shard))
 			for _, n := range lost {
 				d.post(assign.InstanceLost{Origin: n})
 			}
 		}
+		r.limitRetries(s)
 	}
 }
 
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -388,6 +388,7 @@
 	avoid        List[string]
 	origin       string
 	datacentre   string
+	retry        bool
 }
 
 // Id returns the field's value. ID of the request within this process.
@@ -480,6 +481,15 @@
 	return w
 }
 
+// Retry returns the field's value. Set if an earlier attempt of the request reached a server, so that this one counts against the retry budget.
+func (w Work) Retry() bool { return w.retry }
+
+// WithRetry returns a copy with the field replaced.
+func (w Work) WithRetry(v bool) Work {
+	w.retry = v
+	return w
+}
+
 // ServerLoad is the load report of a backend server in a response.
 type ServerLoad struct {
 	running  int32
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -213,6 +213,7 @@
 	}
 	v = v.WithOrigin(m.GetOrigin())
 	v = v.WithDatacentre(m.GetDatacentre())
+	v = v.WithRetry(m.GetRetry())
 	return v
 }
 
@@ -241,6 +242,7 @@
 	}
 	m.SetOrigin(v.Origin())
 	m.SetDatacentre(v.Datacentre())
+	m.SetRetry(v.Retry())
 	return m
 }
 
