feed: Read the store at one instance of a region, and start from the content of others

Each data centre had a reader that watched the store (6 x 1.2 calls/s), each starting instance listed it, and where the store turned a reader away, all instances behind it asked the store one by one. Change: member.PlanReaders gives each instance its part: one reader of the region, four that take its turn in order while it has no current content, one local reader in each data centre that passes the content on. A reader that the store turns away takes content from those after it and says so, so that no two confirm each other. An instance that is not to read the store uses it at a rate that is bounded for the region. A starting instance asks the others first, for 250 ms, or 3 s if the whole fleet starts for the first time and no caller waits. An instance learns of the store's return from its reader, so that lapsed entries stay for the same time. Watches wait an eighth of the revocation bound. Ruled out: longer waits for content when all instances restart under load, which would cost callers more than the calls.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,7 +34,11 @@
 	idleTimeout = 4 * hoist.Second
 	// watchDivisor divides the revocation bound into the timeout of one watch, so that the store view is confirmed
 	// several times within the bound.
-	watchDivisor = 6
+	watchDivisor = 8
+	// startPatience is the time that a starting instance waits for the content of others, and bootstrapPatience the time while
+	// the whole fleet starts for the first time and no caller waits.
+	startPatience     = 250 * hoist.Millis(1)
+	bootstrapPatience = 3 * hoist.Second
 	// callerIdleTimeout bounds the time for which a caller's connection may be idle; the callers of the platform
 	// close theirs earlier.
 	callerIdleTimeout = 2 * hoist.Minute
@@ -96,8 +100,12 @@
 // provideFollower returns the follower of the store.
 func provideFollower(i do.Injector) (*feed.Follower, error) {
 	o := do.MustInvoke[Options](i)
+	patience := startPatience
+	if o.Settings.Bootstrap() {
+		patience = bootstrapPatience
+	}
 	return feed.NewFollower(feed.Options{
-		Source: o.Source, Clock: do.MustInvoke[hoist.Clock](i), Log: do.MustInvoke[*event.Log](i),
+		StartPatience: patience, Source: o.Source, Clock: do.MustInvoke[hoist.Clock](i), Log: do.MustInvoke[*event.Log](i),
 		WatchTimeout: hoist.MillisOfFloat(o.Settings.Bounds().RevokeMs()) / watchDivisor, Mesh: do.MustInvoke[*mesh.Mesh](i),
 	}), nil
 }
@@ -108,7 +116,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Process{
 		settings: o.Settings, clock: clock, log: do.MustInvoke[*event.Log](i), stop: stop, metrics: relay.NewMetrics(),
-		client:   http1.NewClient(clock, http1.Limits{Connect: connectTimeout, Idle: idleTimeout}),
+		client: http1.NewClient(clock, http1.Limits{Connect: connectTimeout, Idle: idleTimeout}),
 		follower: do.MustInvoke[*feed.Follower](i),
 	}
 	m := do.MustInvoke[*mesh.Mesh](i)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -38,15 +38,19 @@
 type Listed struct {
 	Changes     Changes
 	RequestedAt hoist.Millis
+	// ReachableSince is the time at which the store returned after an outage, as known to the reader, or zero.
+	ReachableSince hoist.Millis
 }
 
 // Changed is the response to a watch request sent at RequestedAt, or a response of the reader that was confirmed then.
 type Changed struct {
 	Changes     Changes
 	RequestedAt hoist.Millis
+	// ReachableSince is the time at which the store returned after an outage, as known to the reader, or zero.
+	ReachableSince hoist.Millis
 }
 
-// Failed means that a request got no response.
+// Failed means that a request got no response, or that no other instance has current content.
 type Failed struct{}
 
 // Ticked means that time has passed.
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -27,13 +27,6 @@
 	maxHistoryRecords = 256
 )
 
-// errReaderBehind means that the content of the reader is outdated or that it cannot reach the store, and errReaderEmpty that
-// it has no content yet.
-var (
-	errReaderBehind = errors.New("store reader is behind")
-	errReaderEmpty  = errors.New("store reader has no content yet")
-)
-
 // snapshot is the state that the follower publishes to other goroutines.
 type snapshot struct {
 	view  *View
@@ -41,6 +34,8 @@
 	// history holds the newest changes, the oldest first; it contains all changes after the revision completeAfter.
 	history       value.List[value.FeedRecord]
 	completeAfter int64
+	// away is set while the content is not confirmed by the store or by an instance that is closer to it.
+	away bool
 }
 
 // Options are the dependencies of a follower.
@@ -50,14 +45,16 @@
 	Log    *event.Log
 	// WatchTimeout is the time that a watch waits for changes.
 	WatchTimeout hoist.Millis
+	// StartPatience is the time that a starting instance waits for content of another one before it lists the store.
+	StartPatience hoist.Millis
 	// Mesh carries messages to other instances; it is nil if there are none.
 	Mesh Mesh
 }
 
 // Follower keeps the view of one process current in a single goroutine.
 //
-// The reader of each data centre watches the store; the others request changes from the reader, and use the store while the
-// reader does not respond or is behind.
+// Its ReaderPlan determines which instances it asks for changes, and whether it reads the store while none of them has
+// current content.
 type Follower struct {
 	Options
 	published      atomic.Pointer[snapshot]
@@ -69,18 +66,23 @@
 	Requests, Failures atomic.Int64
 
 	// The fields below are used by the goroutine of Run only.
-	state       State
-	listed      bool
+	state  State
+	listed bool
+	// unreachable is set while the store, or the sources of an instance that does not read it, have no current content.
 	unreachable bool
-	// missedResponses counts the consecutive requests to the reader without a current response. Until readStoreUntil the
-	// store is used in its place, but not before avoidStoreUntil if the store fails as well.
-	missedResponses                 int
-	readStoreUntil, avoidStoreUntil hoist.Millis
+	startedAt   hoist.Millis
+	// missedResponses counts the consecutive rounds in which no source responded.
+	missedResponses int
+	// silentUntil holds the time until which a source that did not respond is asked last.
+	silentUntil map[string]hoist.Millis
+	// nextStoreRequest is the earliest time of the next request to the store if this instance is not to read it, or if the
+	// store does not respond to it.
+	nextStoreRequest hoist.Millis
 }
 
 // NewFollower returns a follower of the source.
 func NewFollower(o Options) *Follower {
-	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}}
+	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silentUntil: map[string]hoist.Millis{}}
 	f.published.Store(&snapshot{view: f.state.View()})
 	f.readerRequests.hint = make(chan struct{}, 1)
 	return f
@@ -93,7 +95,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if f.listed && f.followReader(ctx) {
+		if f.followPeers(ctx) {
 			delay = minRetryDelay
 			continue
 		}
@@ -103,33 +105,17 @@
 		}
 		f.logReachability(err)
 		f.apply(e)
-		if err == nil {
+		switch {
+		case err == nil:
 			delay = minRetryDelay
 			f.coalesce(ctx, e)
-			continue
+		case !errors.Is(err, ErrCompacted):
+			f.Failures.Add(1)
+			f.nextStoreRequest = f.Clock.Now() + storeRetryDelay/2 + rand.N(storeRetryDelay)
+			f.sleep(ctx, delay/2+rand.N(delay))
+			delay = min(2*delay, maxRetryDelay)
 		}
-		if errors.Is(err, ErrCompacted) {
-			continue
-		}
-		if f.returnToReader() {
-			continue
-		}
-		f.sleep(ctx, delay/2+rand.N(delay))
-		delay = min(2*delay, maxRetryDelay)
-	}
-}
-
-// returnToReader resumes requests to the reader of the data centre after a store request has failed as well; it returns
-// false if there is no reader.
-func (f *Follower) returnToReader() bool {
-	if f.Mesh == nil || !f.listed {
-		return false
-	}
-	if _, ok := f.Mesh.Reader(); !ok {
-		return false
 	}
-	f.avoidStoreUntil = f.Clock.Now() + storeRetryDelay/2 + rand.N(storeRetryDelay)
-	return true
 }
 
 // coalesce waits after a response with changes, so that a quick series of changes takes one request.
@@ -160,7 +146,7 @@
 			return Failed{}, err
 		}
 		f.listed = true
-		return Listed{c, requestedAt}, nil
+		return Listed{Changes: c, RequestedAt: requestedAt}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, (f.WatchTimeout + watchResponseTime).Duration())
 	defer cancel()
@@ -172,10 +158,10 @@
 	if err != nil {
 		return Failed{}, err
 	}
-	return Changed{c, requestedAt}, nil
+	return Changed{Changes: c, RequestedAt: requestedAt}, nil
 }
 
-// logReachability logs and counts failures of the store, and logs its recovery.
+// logReachability logs the first failure of the store or of the instances that read it, and the recovery.
 func (f *Follower) logReachability(err error) {
 	switch {
 	case err == nil && f.unreachable:
@@ -184,7 +170,6 @@
 	case errors.Is(err, ErrCompacted):
 		f.Log.Write(event.StoreCompacted, logrus.Fields{"revision": f.state.Revision()})
 	case err != nil:
-		f.Failures.Add(1)
 		if !f.unreachable {
 			f.unreachable = true
 			f.Log.Write(event.StoreUnreachable, logrus.Fields{"error": err.Error(), "revision": f.state.Revision(), "age_ms": f.View().Age(f.Clock.Now())})
@@ -196,7 +181,7 @@
 func (f *Follower) apply(e Event) {
 	old := f.published.Load()
 	f.state = f.state.Decide(e, f.Clock.Now())
-	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter}
+	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter, away: f.unreachable}
 	switch e := e.(type) {
 	case Listed:
 		next.history, next.completeAfter = value.List[value.FeedRecord]{}, e.Changes.Revision
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -15,6 +15,7 @@
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/feed"
+	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/value"
 )
 
@@ -69,7 +70,8 @@
 	}
 }
 
-// fakeMesh connects two followers; the one named "reader" reads the store.
+// fakeMesh connects followers. The one named "reader" reads the store, the one named "listener" does while the first has no
+// current content, and the others do not.
 type fakeMesh struct {
 	self  string
 	peers map[string]*feed.Follower
@@ -83,7 +85,20 @@
 
 func (m *fakeMesh) Converging() bool { return false }
 
-func (m *fakeMesh) Reader() (string, bool) { return "reader", m.self != "reader" }
+func (m *fakeMesh) ReaderPlan() member.ReaderPlan {
+	switch m.self {
+	case "reader":
+		return member.ReaderPlan{Reader: true, Fallbacks: []string{"listener"}, Followers: []string{"listener", "leaf"}, Instances: fleetSize}
+	case "listener":
+		return member.ReaderPlan{Reader: true, Sources: []string{"reader"}, Instances: fleetSize}
+	default:
+		return member.ReaderPlan{Sources: []string{"reader", "listener"}, Instances: fleetSize}
+	}
+}
+
+// fleetSize is the number of instances that the followers know of; with it, an instance that is not to read the store asks
+// it every 20 s in the mean.
+const fleetSize = 200
 
 func (m *fakeMesh) RandomPeer() (string, bool) {
 	for n := range m.peers {
@@ -94,29 +109,29 @@
 	return "", false
 }
 
-func (m *fakeMesh) LocalPeers() []string {
-	n, _ := m.RandomPeer()
-	return []string{n}
+// fleet creates a follower of each name, each with its own source.
+func fleet(wait hoist.Millis, names ...string) (map[string]*feed.Follower, map[string]*source) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	peers, sources := map[string]*feed.Follower{}, map[string]*source{}
+	for _, n := range names {
+		sources[n] = &source{}
+		sources[n].revision.Store(1)
+		peers[n] = feed.NewFollower(feed.Options{
+			Source: sources[n], Clock: hoist.NewBootClock(), Log: event.NewLog(logger), WatchTimeout: wait, StartPatience: hoist.Second,
+			Mesh: &fakeMesh{n, peers},
+		})
+	}
+	return peers, sources
 }
 
 // pair starts a reader and a listener, each with its own source.
 func pair(ctx context.Context, wait hoist.Millis) (reader, listener *feed.Follower, readerSource, listenerSource *source) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	peers := map[string]*feed.Follower{}
-	follower := func(name string) (*feed.Follower, *source) {
-		s := &source{}
-		s.revision.Store(1)
-		peers[name] = feed.NewFollower(feed.Options{
-			Source: s, Clock: hoist.NewBootClock(), Log: event.NewLog(logger), WatchTimeout: wait, Mesh: &fakeMesh{name, peers},
-		})
-		return peers[name], s
+	peers, sources := fleet(wait, "reader", "listener")
+	for _, f := range peers {
+		go f.Run(ctx)
 	}
-	reader, readerSource = follower("reader")
-	listener, listenerSource = follower("listener")
-	go reader.Run(ctx)
-	go listener.Run(ctx)
-	return reader, listener, readerSource, listenerSource
+	return peers["reader"], peers["listener"], sources["reader"], sources["listener"]
 }
 
 // version returns the version of the table in force, or zero.
@@ -191,4 +206,39 @@
 		before := reader.View().ConfirmedAt
 		Eventually(func() hoist.Millis { return reader.View().ConfirmedAt }).WithTimeout(5 * time.Second).Should(BeNumerically(">", before))
 	})
+
+	// Pattern: a herd of restarts. Guards against a list request of every starting instance.
+	It("take the complete list from another instance when they start", func() {
+		peers, sources := fleet(100, "reader", "listener", "leaf")
+		for _, f := range peers {
+			go f.Run(ctx)
+		}
+		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
+		Eventually(version(peers["listener"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
+		Expect(sources["leaf"].lists.Load() + sources["listener"].lists.Load()).To(BeZero())
+		Expect(peers["leaf"].Requests.Load()).To(BeZero())
+	})
+
+	// Guards against an instance that never serves because the others have no content.
+	It("list the store when no other instance has content", func() {
+		peers, _ := fleet(100, "leaf")
+		go peers["leaf"].Run(ctx)
+		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
+	})
+
+	// Pattern: the store turns a third of the instances away. Guards against requests of the instances behind a reader that is
+	// turned away, and against content that nobody confirms.
+	It("follow the next reader while the store turns the first one away", func() {
+		peers, sources := fleet(100, "reader", "listener", "leaf")
+		for _, f := range peers {
+			go f.Run(ctx)
+		}
+		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
+		sources["reader"].down.Store(true)
+		sources["leaf"].down.Store(true)
+		sources["listener"].revision.Store(2)
+		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(2)))
+		Eventually(version(peers["reader"])).WithTimeout(5 * time.Second).Should(Equal(uint64(2)))
+		Expect(peers["leaf"].Requests.Load()).To(BeZero())
+	})
 })
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -3,49 +3,62 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 
-	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/value"
 	"chicoryhoist.example/hoist/wire"
 )
 
 const (
-	// readerRequestInterval is the interval of requests to the reader; a short one detects its failure quickly.
+	// readerRequestInterval is the interval of requests to a source; a short one detects its failure quickly.
 	readerRequestInterval = 500 * hoist.Millis(1)
-	// readerTimeout limits the response of the reader.
+	// readerTimeout limits the response of a source.
 	readerTimeout = 250 * hoist.Millis(1)
+	// silentTime is the time for which a source that did not respond is asked last.
+	silentTime = hoist.Second
 	// convergencePollInterval is the interval of checks of the membership while it converges; a current list needs no request to
 	// the store until then.
 	convergencePollInterval = 100 * hoist.Millis(1)
-	// maxMissedResponses is the number of requests without a current response after which an instance uses the store.
+	// startPollInterval is the interval of requests of an instance that has no content yet.
+	startPollInterval = 50 * hoist.Millis(1)
+	// maxMissedResponses is the number of rounds without a response after which a reader uses the store.
 	maxMissedResponses = 2
-	// storeReadTime is the time for which an instance then reads the store itself.
-	storeReadTime = 3 * hoist.Second
-	// storeRetryDelay is the mean delay between two requests of one instance to a store that fails the reader as well. The whole
-	// fleet sends requests to the store then, and the reader itself retries it with delays of up to 1.5 s.
+	// storeRetryDelay is the mean delay between two requests to a store that does not respond to this instance.
 	storeRetryDelay = 2 * hoist.Second
-	// maxReaderAgeWatches is the age of the reader's content, in watch timeouts, above which the reader is behind.
-	maxReaderAgeWatches = 3
+	// instanceStoreInterval is the mean time between two requests of the whole region to the store while no reader has current
+	// content, so that the requests do not grow with the number of instances.
+	instanceStoreInterval = 50 * hoist.Millis(1)
+	// maxReaderAgeHalfWatches is the age of a reader's content, in halves of a watch timeout, above which the reader is behind.
+	// Content that is confirmed by one watch after the other is at most two watch timeouts old.
+	maxReaderAgeHalfWatches = 5
 	// fragmentBytes is the size of one fragment of a response.
 	fragmentBytes = 16 << 10
 )
 
+// errReaderBehind means that the content of a source is outdated or that it cannot reach the store, errReaderEmpty that it
+// has no content yet, and errReaderSilent that it did not respond.
+var (
+	errReaderBehind = errors.New("store reader is behind")
+	errReaderEmpty  = errors.New("store reader has no content yet")
+	errReaderSilent = errors.New("store reader did not respond")
+)
+
 // Mesh carries messages between instances.
 type Mesh interface {
 	// SendTo sends a message to a live instance; the message may be lost.
 	SendTo(name string, b value.DatagramBody)
 	// Converging reports whether the live instances are unknown because this instance has just started or was paused.
 	Converging() bool
-	// Reader returns the instance that reads the store for this one, or false if this instance reads the store itself.
-	Reader() (string, bool)
+	// ReaderPlan returns the part of this instance in reading the store.
+	ReaderPlan() member.ReaderPlan
 	// RandomPeer returns a random live instance other than this one.
 	RandomPeer() (string, bool)
-	// LocalPeers returns the live instances for which this one reads the store.
-	LocalPeers() []string
 }
 
 // readerRequests is the state of the requests to the reader.
@@ -66,36 +79,120 @@
 	done      chan []byte
 }
 
-// followReader sends one request to the reader and waits for the next one; it returns false if the store is to be used.
-func (f *Follower) followReader(ctx context.Context) bool {
+// followPeers takes the content from other instances and waits for the next round; it returns false if the store is to be
+// used.
+func (f *Follower) followPeers(ctx context.Context) bool {
 	if f.Mesh == nil {
 		return false
 	}
-	if f.Mesh.Converging() && f.View().Age(f.Clock.Now()) < maxReaderAgeWatches*f.WatchTimeout {
+	plan := f.Mesh.ReaderPlan()
+	if f.listed && f.Mesh.Converging() && f.View().Age(f.Clock.Now()) < f.maxReaderAge(plan) {
 		f.waitForHint(ctx, convergencePollInterval)
 		return true
 	}
-	reader, ok := f.Mesh.Reader()
-	now := f.Clock.Now()
-	if !ok || (now < f.readStoreUntil && now >= f.avoidStoreUntil) {
-		f.requestRandomPeer(ctx)
+	if plan.Reader && f.listed && f.unreachable && f.Clock.Now() >= f.nextStoreRequest {
 		return false
 	}
-	e, err := f.requestReader(ctx, reader)
-	if err != nil {
-		f.apply(Ticked{})
-		if f.missedResponses++; f.missedResponses >= maxMissedResponses {
-			f.missedResponses, f.readStoreUntil = 0, f.Clock.Now()+storeReadTime
-		}
-		if now < f.avoidStoreUntil || errors.Is(err, errReaderEmpty) {
+	silent := true
+	for _, s := range f.sources(plan) {
+		e, err := f.requestReader(ctx, s, f.maxReaderAge(plan))
+		if err == nil {
+			f.applyResponse(e, slices.Contains(plan.Sources, s))
 			f.waitForHint(ctx, readerRequestInterval)
+			return true
 		}
-		return true
+		if errors.Is(err, errReaderSilent) {
+			f.silentUntil[s] = f.Clock.Now() + silentTime
+			continue
+		}
+		silent = false
+		if errors.Is(err, errReaderEmpty) && !f.listed {
+			break // The source is starting as well, and sends a hint when it has content.
+		}
+	}
+	return ctx.Err() != nil || f.postponeStore(ctx, plan, silent)
+}
+
+// maxReaderAge returns the age above which the content of a source is behind. The instances that do not read the store get
+// it from others that ask for it at intervals.
+func (f *Follower) maxReaderAge(plan member.ReaderPlan) hoist.Millis {
+	age := f.WatchTimeout * maxReaderAgeHalfWatches / 2
+	if !plan.Reader {
+		age += readerRequestInterval
+	}
+	return age
+}
+
+// sources returns the instances to ask, those that did not respond lately only if there is no other.
+func (f *Follower) sources(plan member.ReaderPlan) []string {
+	names := slices.Clone(plan.Sources)
+	if f.unreachable {
+		names = append(names, plan.Fallbacks...)
+		if peer, ok := f.Mesh.RandomPeer(); ok && !plan.Reader {
+			names = append(names, peer)
+		}
+	}
+	now := f.Clock.Now()
+	if responsive := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return now < f.silentUntil[n] }); len(responsive) > 0 {
+		return responsive
+	}
+	return names
+}
+
+// applyResponse applies the response of another instance. Only an instance that is closer to the store than this one proves
+// that the store can be followed; the content of others may come from this one.
+func (f *Follower) applyResponse(e Event, closer bool) {
+	f.missedResponses, f.listed = 0, true
+	if closer {
+		f.nextStoreRequest = 0
+		f.logReachability(nil)
 	}
-	f.missedResponses = 0
 	f.apply(e)
-	f.waitForHint(ctx, readerRequestInterval)
-	return true
+}
+
+// postponeStore waits instead of a request to the store; it returns false if the store is to be used now. No source has
+// current content, and silent says that none responded.
+func (f *Follower) postponeStore(ctx context.Context, plan member.ReaderPlan, silent bool) bool {
+	now := f.Clock.Now()
+	first := plan.Reader && len(plan.Sources) == 0
+	switch {
+	case !f.listed:
+		if now-f.startedAt < f.StartPatience && (!first || plan.Instances == 1) {
+			f.waitForHint(ctx, startPollInterval)
+			return true
+		}
+		return !first && !f.mayRequestStore(ctx, plan, now)
+	case first:
+		return false
+	case plan.Reader:
+		if f.missedResponses++; silent && f.missedResponses < maxMissedResponses {
+			return true
+		}
+		f.missedResponses = 0
+		return false
+	default:
+		f.logReachability(errReaderBehind)
+		f.apply(Failed{})
+		return !f.mayRequestStore(ctx, plan, now)
+	}
+}
+
+// mayRequestStore reports whether an instance that is not to read the store uses it all the same. It spreads the requests of
+// all instances over time, and waits if it is not the turn of this one.
+func (f *Follower) mayRequestStore(ctx context.Context, plan member.ReaderPlan, now hoist.Millis) bool {
+	if !f.listed && f.nextStoreRequest == 0 {
+		return true
+	}
+	interval := 2 * instanceStoreInterval * hoist.Millis(max(plan.Instances, 1))
+	if f.nextStoreRequest == 0 {
+		f.nextStoreRequest = now + rand.N(interval)
+	}
+	if now >= f.nextStoreRequest {
+		f.nextStoreRequest = now + rand.N(interval)
+		return true
+	}
+	f.waitForHint(ctx, min(readerRequestInterval, f.nextStoreRequest-now))
+	return false
 }
 
 // waitForHint waits for the duration, for a hint of the reader or for the end of ctx.
@@ -107,26 +204,11 @@
 	}
 }
 
-// requestRandomPeer sends a request to a random instance while the store is unreachable from this one; its content is confirmed
-// in the same way as that of the reader.
-func (f *Follower) requestRandomPeer(ctx context.Context) {
-	if !f.unreachable {
-		return
-	}
-	name, ok := f.Mesh.RandomPeer()
-	if !ok {
-		return
-	}
-	if e, err := f.requestReader(ctx, name); err == nil {
-		f.apply(e)
-	}
-}
-
-// requestReader sends one request to the reader.
+// requestReader sends one request to another instance, whose content must not be older than maxAge.
 //
 // The content is confirmed at the time of the request less the age stated in the response: the response was made after the
 // request, however long it took and whether or not this process was suspended in between.
-func (f *Follower) requestReader(ctx context.Context, reader string) (Event, error) {
+func (f *Follower) requestReader(ctx context.Context, reader string, maxAge hoist.Millis) (Event, error) {
 	requestedAt := f.Clock.Now()
 	pending := f.readerRequests.start()
 	f.Mesh.SendTo(reader, value.FeedAsk{}.WithNumber(pending.number).WithRevision(f.state.Revision()))
@@ -134,7 +216,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-f.Clock.After(readerTimeout):
-		return nil, eris.New("store reader did not respond")
+		return nil, errReaderSilent
 	case content := <-pending.done:
 		message := &wire.FeedAnswer{}
 		if err := proto.Unmarshal(content, message); err != nil {
@@ -144,7 +226,7 @@
 		if response.Gap() {
 			return nil, errReaderEmpty
 		}
-		if response.Away() || hoist.Millis(response.AgeMs()) > maxReaderAgeWatches*f.WatchTimeout {
+		if response.Away() || hoist.Millis(response.AgeMs()) > maxAge {
 			return nil, errReaderBehind
 		}
 		records := make([]value.FeedRecord, 0, response.Records().Len())
@@ -152,10 +234,14 @@
 			records = append(records, r)
 		}
 		changes, confirmedAt := Changes{records, response.Revision()}, requestedAt-hoist.Millis(response.AgeMs())
+		var reachableSince hoist.Millis
+		if response.BackMs() > 0 {
+			reachableSince = f.Clock.Now() - hoist.Millis(response.BackMs())
+		}
 		if response.Whole() {
-			return Listed{changes, confirmedAt}, nil
+			return Listed{changes, confirmedAt, reachableSince}, nil
 		}
-		return Changed{changes, confirmedAt}, nil
+		return Changed{changes, confirmedAt, reachableSince}, nil
 	}
 }
 
@@ -215,7 +301,7 @@
 func (f *Follower) respond(to string, request value.FeedAsk) {
 	current := f.published.Load()
 	response := value.FeedAnswer{}.WithRevision(max(current.state.Revision(), request.Revision())).WithAgeMs(int64(current.view.Age(f.Clock.Now()))).
-		WithGap(current.view.Table == nil).WithAway(current.state.unreachable).WithWhole(request.Revision() < current.completeAfter)
+		WithGap(current.view.Table == nil).WithAway(current.away).WithBackMs(current.state.backMs(f.Clock.Now())).WithWhole(request.Revision() < current.completeAfter)
 	switch {
 	case response.Gap():
 	case response.Whole():
@@ -240,15 +326,12 @@
 	}
 }
 
-// sendHints informs the instances of the data centre about a new revision if this instance is their reader.
+// sendHints informs the instances that ask this one first about a new revision.
 func (f *Follower) sendHints(revision int64) {
 	if f.Mesh == nil {
 		return
 	}
-	if _, ok := f.Mesh.Reader(); ok {
-		return
-	}
-	for _, n := range f.Mesh.LocalPeers() {
+	for _, n := range f.Mesh.ReaderPlan().Followers {
 		f.Mesh.SendTo(n, value.FeedHint{}.WithRevision(revision))
 	}
 }
--- a/feed/state.go
+++ b/feed/state.go
@@ -93,11 +93,11 @@
 func (s State) Decide(e Event, now hoist.Millis) State {
 	switch e := e.(type) {
 	case Listed:
-		s = s.confirmed(e.RequestedAt, now)
+		s = s.confirmed(e.RequestedAt, e.ReachableSince, now)
 		s = s.withoutMissing(e.Changes, now)
 		s = s.withRecords(e.Changes, now)
 	case Changed:
-		s = s.confirmed(e.RequestedAt, now)
+		s = s.confirmed(e.RequestedAt, e.ReachableSince, now)
 		s = s.withRecords(e.Changes, now)
 	case Failed:
 		s.unreachable = true
@@ -106,15 +106,24 @@
 	return s.withoutLapsed(now)
 }
 
-// confirmed returns a copy after a response of the store.
-func (s State) confirmed(requestedAt, now hoist.Millis) State {
+// confirmed returns a copy after a response of the store or of a reader that knows of the store's return.
+func (s State) confirmed(requestedAt, reachableSince, now hoist.Millis) State {
 	if s.unreachable {
 		s.unreachable, s.reachableSince = false, now
 	}
+	s.reachableSince = max(s.reachableSince, reachableSince)
 	s.confirmedAt = max(s.confirmedAt, requestedAt)
 	return s
 }
 
+// backMs returns the time since the store returned after an outage while removed entries are still in use, or zero.
+func (s State) backMs(now hoist.Millis) int64 {
+	if since := now - s.reachableSince; s.reachableSince > 0 && since < lapseGraceTime {
+		return int64(max(since, 1))
+	}
+	return 0
+}
+
 // withRecords returns a copy with those of the records that are newer than the known ones.
 func (s State) withRecords(c Changes, now hoist.Millis) State {
 	s.revision = max(s.revision, c.Revision)
--- a/feed/state_test.go
+++ b/feed/state_test.go
@@ -71,9 +71,9 @@
 		var e feed.Event
 		switch l.Verb {
 		case "listed":
-			e = feed.Listed{Changes: changes, RequestedAt: asked}
+			e = feed.Listed{Changes: changes, RequestedAt: asked, ReachableSince: hoist.Millis(l.Int("back"))}
 		case "changed":
-			e = feed.Changed{Changes: changes, RequestedAt: asked}
+			e = feed.Changed{Changes: changes, RequestedAt: asked, ReachableSince: hoist.Millis(l.Int("back"))}
 		case "failed":
 			e = feed.Failed{}
 		case "ticked":
--- a/mesh/membership.go
+++ b/mesh/membership.go
@@ -34,8 +34,7 @@
 			}
 			m.send(in.from, in.number, value.MeetAnswer{}.WithGossip(x.Gossip))
 		case member.Publish:
-			old := m.view.Swap(x.View)
-			m.OnView(old, x.View)
+			m.OnView(m.setView(x.View), x.View)
 		case member.Deliver:
 			m.OnItems(x.Items)
 		case member.Log:
@@ -44,6 +43,13 @@
 	}
 }
 
+// setView replaces the view and the plan that follows from it, and returns the old view.
+func (m *Mesh) setView(v *member.View) *member.View {
+	plan := member.PlanReaders(v)
+	m.readerPlan.Store(&plan)
+	return m.view.Swap(v)
+}
+
 // raiseIncarnation restarts the membership under a higher incarnation when a peer knows a higher incarnation of this
 // instance from an earlier process, which occurs when the clock was set back.
 func (m *Mesh) raiseIncarnation(g value.Gossip) {
@@ -89,6 +95,9 @@
 // so that parts of the fleet that do not know each other connect.
 func (m *Mesh) requestMembers(now hoist.Millis) {
 	interval := joinInterval
+	if len(m.View().Members()) == 1 {
+		interval = aloneJoinInterval
+	}
 	if now-m.startedAt > joinPhaseTime {
 		interval = syncInterval
 	}
@@ -158,16 +167,8 @@
 	return view.Stale() || alone && m.Clock.Now()-m.startedAt < convergenceTime
 }
 
-// Reader returns the instance of the local data centre that reads the store. It returns false if this instance reads the
-// store itself, which includes the time while its view is stale.
-func (m *Mesh) Reader() (string, bool) {
-	v := m.View()
-	reader, ok := v.Watcher()
-	if !ok || v.Stale() || reader.Name() == m.Settings.Name() {
-		return "", false
-	}
-	return reader.Name(), true
-}
+// ReaderPlan returns the part of this instance in reading the store.
+func (m *Mesh) ReaderPlan() member.ReaderPlan { return *m.readerPlan.Load() }
 
 // RandomPeer returns a random live instance other than this one.
 func (m *Mesh) RandomPeer() (string, bool) {
@@ -182,14 +183,3 @@
 	}
 	return names[rand.N(len(names))], true
 }
-
-// LocalPeers returns the other live instances of the local data centre.
-func (m *Mesh) LocalPeers() []string {
-	var names []string
-	for _, x := range m.View().Members() {
-		if x.Datacentre() == m.Settings.Datacentre() && x.Name() != m.Settings.Name() {
-			names = append(names, x.Name())
-		}
-	}
-	return names
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -33,6 +33,8 @@
 	joinInterval  = hoist.Second
 	joinPhaseTime = 8 * hoist.Second
 	syncInterval  = 10 * hoist.Second
+	// aloneJoinInterval is the time between two requests of an instance that knows no other during the first joinPhaseTime.
+	aloneJoinInterval = 200 * hoist.Millis(1)
 	// convergenceTime is the time after the start in which an instance that knows no other still expects to discover one: two
 	// requests for all members, and the heartbeats that follow.
 	convergenceTime = 2500 * hoist.Millis(1)
@@ -76,7 +78,9 @@
 	Options
 	socket *net.UDPConn
 	view   atomic.Pointer[member.View]
-	inbox  chan input
+	// readerPlan follows from the view.
+	readerPlan atomic.Pointer[member.ReaderPlan]
+	inbox      chan input
 	// startedAt is the time at which the mesh was created.
 	startedAt hoist.Millis
 	// Sent and SentBytes count the datagrams sent and their bytes; Invalid counts the received datagrams that were
@@ -121,7 +125,7 @@
 		WithRegion(s.Region()).WithDatacentre(s.Datacentre()).WithCapacity(capacity(s.Resources()))
 	t := value.Timing{}.WithHeartbeatMs(int64(heartbeatInterval)).WithSuspectMs(int64(suspectTime)).WithPauseMs(int64(pauseTime))
 	m.state = member.New(self, t, m.Clock.Now())
-	m.view.Store(m.state.View())
+	m.setView(m.state.View())
 }
 
 // capacity returns the capacity of the instance, in thousandths of a core.
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -13,6 +13,7 @@
 	retries    ForwardRetries
 	peers      ForwardPeers
 	region     string
+	bootstrap  bool
 }
 
 // Name returns the field's value. Name of the instance.
@@ -96,6 +97,15 @@
 	return f
 }
 
+// Bootstrap returns the field's value. Set if the whole fleet starts for the first time, so that no caller waits for it yet.
+func (f ForwardSettings) Bootstrap() bool { return f.bootstrap }
+
+// WithBootstrap returns a copy with the field replaced.
+func (f ForwardSettings) WithBootstrap(v bool) ForwardSettings {
+	f.bootstrap = v
+	return f
+}
+
 // ForwardListen holds the listen addresses of a forwarding router, as IP:port.
 type ForwardListen struct {
 	callers string
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -487,6 +487,7 @@
 	records  List[FeedRecord]
 	whole    bool
 	away     bool
+	backMs   int64
 }
 
 // AgeMs returns the field's value. Time since the content was last confirmed to be current, in milliseconds.
@@ -534,7 +535,7 @@
 	return f
 }
 
-// Away returns the field's value. Away is set if the store did not respond to the reader's last request.
+// Away returns the field's value. Away is set if the store, or the instance from which the content comes, did not respond to the last request.
 func (f FeedAnswer) Away() bool { return f.away }
 
 // WithAway returns a copy with the field replaced.
@@ -543,6 +544,15 @@
 	return f
 }
 
+// BackMs returns the field's value. Time since the store has responded again after an outage, in milliseconds, or zero if that is long ago.
+func (f FeedAnswer) BackMs() int64 { return f.backMs }
+
+// WithBackMs returns a copy with the field replaced.
+func (f FeedAnswer) WithBackMs(v int64) FeedAnswer {
+	f.backMs = v
+	return f
+}
+
 // FeedRecordBody is one of the alternatives of FeedRecord.
 //
 //sumtype:decl
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -32,6 +32,7 @@
 		v = v.WithPeers(ForwardPeersValue(m.GetPeers()))
 	}
 	v = v.WithRegion(m.GetRegion())
+	v = v.WithBootstrap(m.GetBootstrap())
 	return v
 }
 
@@ -59,6 +60,7 @@
 		m.SetPeers(x)
 	}
 	m.SetRegion(v.Region())
+	m.SetBootstrap(v.Bootstrap())
 	return m
 }
 
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -295,6 +295,7 @@
 	}
 	v = v.WithWhole(m.GetWhole())
 	v = v.WithAway(m.GetAway())
+	v = v.WithBackMs(m.GetBackMs())
 	return v
 }
 
@@ -313,6 +314,7 @@
 	}
 	m.SetWhole(v.Whole())
 	m.SetAway(v.Away())
+	m.SetBackMs(v.BackMs())
 	return m
 }
 
