relay: Let requests wait for the first route table of a starting instance

Cause: after a loss of power of all instances, an instance accepted requests before it had routes and rejected them at once. Change: such a request waits for the table for up to a second, or a quarter of the caller's timeout. The test of the whole router listens on an address of its own process, so that no other process takes its port in between. Ruled out: listening only once the table is there; callers then see refused connections and wait to connect again. The new test of the whole router fails without the wait.

--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -82,9 +83,10 @@
 	return l.Addr().String()
 }
 
-// freeAddress returns a loopback address on which no process listens.
+// freeAddress returns a loopback address on which no process listens. The IP address is that of this process, so that no
+// other process takes the port before the router listens on it.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.3.%d.%d:0", os.Getpid()>>8&0xff, os.Getpid()&0xff))
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
@@ -96,8 +98,16 @@
 	f.store.Put("op/config", fmt.Appendf(nil, routesFormat, f.version, keys))
 }
 
-// startEnvironment starts a store, two servers of each service and an instance, and waits until the instance is ready.
+// startEnvironment starts an environment and waits until the instance is ready.
 func startEnvironment() *environment {
+	f := newEnvironment(func(*kvsrv.Store) {})
+	Eventually(f.isReady).WithTimeout(10 * time.Second).Should(BeTrue())
+	return f
+}
+
+// newEnvironment starts a store, two servers of each service and an instance; prepare changes the store before the instance
+// starts.
+func newEnvironment(prepare func(*kvsrv.Store)) *environment {
 	f := &environment{store: kvsrv.New(), log: &origin.Log{}, servers: map[string]*origin.Server{}, done: make(chan error, 1)}
 	for _, id := range []string{"llm-1", "llm-2", "app-1", "app-2"} {
 		s := origin.New(id, f.log, 5*time.Millisecond)
@@ -106,6 +116,7 @@
 		f.store.Put("servers/"+id, []byte(entry))
 	}
 	f.publish(`"k3"`)
+	prepare(f.store)
 	callers, ready := freeAddress(), freeAddress()
 	text := fmt.Sprintf(settingsFormat, 1, callers, ready, freeAddress(), f.serve(f.store.Handler()), freeAddress())
 	s, findings := config.ParseForwardSettings("settings.toml", []byte(text))
@@ -117,7 +128,6 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f.url, f.ready, f.stop = "http://"+callers, "http://"+ready, stop
 	go func() { f.done <- p.Run(ctx) }()
-	Eventually(f.isReady).WithTimeout(10 * time.Second).Should(BeTrue())
 	return f
 }
 
@@ -182,6 +192,29 @@
 	return b.String()
 }
 
+// Pattern: all instances restart at once under load. Guards against callers that use up their retries on an instance whose
+// route table arrives a moment later.
+var _ = Describe("a forwarding router that has just started", func() {
+	It("serves a request that arrived before the route table", func() {
+		f := newEnvironment(func(s *kvsrv.Store) { s.SetMode(kvsrv.Refusing) })
+		defer f.close()
+		Eventually(func() bool {
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			if err != nil {
+				return false
+			}
+			return c.Close() == nil
+		}).WithTimeout(10 * time.Second).Should(BeTrue())
+		answered := make(chan result, 1)
+		go func() { answered <- f.send(http.MethodGet, "a.example", "/read/x", "r1", "k1") }()
+		Consistently(answered).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		f.store.SetMode(kvsrv.Serving)
+		var r result
+		Eventually(answered).WithTimeout(10 * time.Second).Should(Receive(&r))
+		Expect(r.status).To(Equal(http.StatusOK))
+	})
+})
+
 var _ = Describe("a forwarding router", func() {
 	var f *environment
 	BeforeEach(func() { f = startEnvironment() })
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -57,7 +57,9 @@
 // current content.
 type Follower struct {
 	Options
-	published      atomic.Pointer[snapshot]
+	published atomic.Pointer[snapshot]
+	// hasTable is closed when the first view with a route table is published.
+	hasTable       chan struct{}
 	readerRequests readerRequests
 	// OnView is called with the views before and after each event, from the goroutine of Run; the new view is published when
 	// it returns.
@@ -82,7 +84,7 @@
 
 // NewFollower returns a follower of the source.
 func NewFollower(o Options) *Follower {
-	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silentUntil: map[string]hoist.Millis{}}
+	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silentUntil: map[string]hoist.Millis{}, hasTable: make(chan struct{})}
 	f.published.Store(&snapshot{view: f.state.View()})
 	f.readerRequests.hint = make(chan struct{}, 1)
 	return f
@@ -91,6 +93,9 @@
 // View returns the current view.
 func (f *Follower) View() *View { return f.published.Load().view }
 
+// HasTable returns a channel that is closed when the first view with a route table is published.
+func (f *Follower) HasTable() <-chan struct{} { return f.hasTable }
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
@@ -193,6 +198,9 @@
 	// OnView comes first, so that readers of the new view find its consequences in place.
 	f.OnView(old.view, next.view)
 	f.published.Store(next)
+	if old.view.Table == nil && next.view.Table != nil {
+		close(f.hasTable)
+	}
 	if r := next.state.Revision(); r > old.state.Revision() {
 		f.sendHints(r)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,6 +30,10 @@
 	// keyAgeTenths is the fraction, in tenths, of the revocation bound up to which the store view counts as current.
 	// The remainder covers a watch that is interrupted for a moment and the transfer of a request to its server.
 	keyAgeTenths = 8
+	// maxTableWait is the longest time for which a request waits for the first route table, and tableWaitDivisor the part of
+	// the caller's timeout that it may take.
+	maxTableWait     = hoist.Second
+	tableWaitDivisor = 4
 	// keysStaleRetryAfter is the delay after which a caller whose key cannot be checked should try again.
 	keysStaleRetryAfter = 300 * hoist.Millis(1)
 )
@@ -123,6 +127,7 @@
 func (r *Relay) Serve(ctx context.Context, q Request, w ResponseWriter) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
+	r.awaitTable(ctx, q)
 	j := &job{Relay: r, request: q, response: w, view: r.Follower.View()}
 	if e := j.admit(); e != nil {
 		j.reject(e)
@@ -135,6 +140,23 @@
 	j.record()
 }
 
+// awaitTable waits for the route table of an instance that has just started: callers repeat a rejected request only a few
+// times, and the table usually arrives within a fraction of a second.
+func (r *Relay) awaitTable(ctx context.Context, q Request) {
+	if r.Follower.View().Table != nil {
+		return
+	}
+	limit := maxTableWait
+	if q.Timeout > 0 {
+		limit = min(limit, q.Timeout/tableWaitDivisor)
+	}
+	select {
+	case <-r.Follower.HasTable():
+	case <-ctx.Done():
+	case <-r.Clock.After(limit):
+	}
+}
+
 // errDeadline is the cause of a context that ended at the deadline of its request.
 var errDeadline = errors.New("deadline of the request has passed")
 
