assign: Keep urgent streams from servers that have been slow for seconds

Cause: a load report counts for 300 ms only, because most of its noise is shorter. A server that is slow for seconds and that few requests reach therefore looks idle and quick again, and gets the next urgent stream. Change: the lesser of two consecutive reports is kept as sustained slowness and decays over 4 s; a slow server costs a stream 40 ms for each multiple of the usual time, for the pauses between its events. Ruled out: a longer life of single reports, which would keep requests from servers after a moment's noise. Test: script "slow"; before, request 4 goes to the slow server.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -73,6 +73,7 @@
 		c = plainCostMs * (c + 1) / float64(max(x.entry.Slots(), 1)) * slowness
 	} else {
 		c = slowness*((x.tokensAhead(w.Rank())+assignedWeight*x.decayedTokens(now)+float64(uncached))/prefillTokensPerMs+c*runCostMs) + recomputeWeight*float64(recomputed)/prefillTokensPerMs
+		c += (slowness - 1) * slowStreamMs
 		c += streamPauseWeight * float64(x.higherRanked(w.Rank())) * float64(uncached) / prefillTokensPerMs
 	}
 	if excess := x.runs.Len() + 1 - int(x.entry.Slots()); excess > 0 && x.entry.Slots() > 0 {
--- a/assign/constants.go
+++ b/assign/constants.go
@@ -39,6 +39,12 @@
 	coldStartShift = 4
 	// loadReportTTL is the age up to which a load report is used; the speed of servers changes many times a second.
 	loadReportTTL = 300 * hoist.Millis(1)
+	// slownessWindow is the longest time between two load reports that together show a sustained slowness, and
+	// slownessDecayTime the time constant of its decay. Engines stay slow for several seconds.
+	slownessWindow    = 5 * hoist.Second
+	slownessDecayTime = 4 * hoist.Second
+	// slowStreamMs is the cost of the longer pauses between the events of a stream, for each multiple of the usual time.
+	slowStreamMs = 40
 	// queueFullBackoff, errorBackoff and unreachableBackoff are the initial backoffs after a refusal, an error and a
 	// failed connection.
 	queueFullBackoff   = 100 * hoist.Millis(1)
--- a/assign/server.go
+++ b/assign/server.go
@@ -29,6 +29,9 @@
 	// load is the last load report and loadAt its time; a report older than loadReportTTL is ignored.
 	load   value.ServerLoad
 	loadAt hoist.Millis
+	// sustainedSlowness is the lesser slowness of the last two load reports, or 1 if there were not two within
+	// slownessWindow. A single slow report is usually noise on the machine of the server.
+	sustainedSlowness float64
 	// assignedTokens is an exponentially decaying sum of the prompt tokens assigned to the server, as of assignedAt.
 	assignedTokens float64
 	assignedAt     hoist.Millis
@@ -76,6 +79,10 @@
 
 // withLoad returns a copy with a new load report.
 func (s server) withLoad(l value.ServerLoad, now hoist.Millis) server {
+	s.sustainedSlowness = 1
+	if s.loadAt > 0 && now-s.loadAt < slownessWindow {
+		s.sustainedSlowness = min(slownessOf(s.load), slownessOf(l))
+	}
 	s.load, s.loadAt = l, now
 	return s
 }
@@ -177,11 +184,24 @@
 	return n
 }
 
-// slowness returns the factor by which the server is slower than usual, as last reported; it is 1 without a current
-// report.
+// slowness returns the factor by which the server is slower than usual: as last reported, or the sustained slowness once
+// that report is outdated, which decays so that a server which has recovered gets requests again.
 func (s server) slowness(now hoist.Millis) float64 {
-	if now-s.loadAt > loadReportTTL || s.load.Slowness() <= 0 {
+	age := now - s.loadAt
+	switch {
+	case s.loadAt == 0:
+		return 1
+	case age <= loadReportTTL:
+		return slownessOf(s.load)
+	default:
+		return 1 + (s.sustainedSlowness-1)*math.Exp(-float64(age)/float64(slownessDecayTime))
+	}
+}
+
+// slownessOf returns the slowness in a load report, or 1 if it states none.
+func slownessOf(l value.ServerLoad) float64 {
+	if l.Slowness() <= 0 {
 		return 1
 	}
-	return float64(s.load.Slowness()) / 100
+	return float64(l.Slowness()) / 100
 }
