feed: Take turns reading the store without waiting for readers that are cut off

A reader whose predecessors were cut off also waited up to a second for them before each request, so that its content counted as behind. Change: 16 instances take turns. A reader whose store stops responding tells the next ones, and one that has read content tells the local readers. A source that does not respond is left out for 1 to 4 s; a request is repeated once after 100 ms, under a number of its own, so that fragments of two responses are never joined. Test: content reaches all instances while the store turns the first two readers away, without a call of the others.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -73,10 +73,8 @@
 	// unreachable is set while the store, or the sources of an instance that does not read it, have no current content.
 	unreachable bool
 	startedAt   hoist.Millis
-	// missedResponses counts the consecutive rounds in which no source responded.
-	missedResponses int
-	// silentUntil holds the time until which a source that did not respond is asked last.
-	silentUntil map[string]hoist.Millis
+	// silences holds the sources that did not respond to their last request.
+	silences map[string]silence
 	// nextStoreRequest is the earliest time of the next request to the store if this instance is not to read it, or if the
 	// store does not respond to it.
 	nextStoreRequest hoist.Millis
@@ -84,7 +82,7 @@
 
 // NewFollower returns a follower of the source.
 func NewFollower(o Options) *Follower {
-	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silentUntil: map[string]hoist.Millis{}, hasTable: make(chan struct{})}
+	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silences: map[string]silence{}, hasTable: make(chan struct{})}
 	f.published.Store(&snapshot{view: f.state.View()})
 	f.readerRequests.hint = make(chan struct{}, 1)
 	return f
@@ -109,7 +107,7 @@
 			return
 		}
 		f.logReachability(err)
-		f.apply(e)
+		f.apply(e, true)
 		switch {
 		case err == nil:
 			delay = minRetryDelay
@@ -182,8 +180,9 @@
 	}
 }
 
-// apply applies an event, publishes the view and sends hints about a new revision to the instances of the data centre.
-func (f *Follower) apply(e Event) {
+// apply applies an event, which concerns the store itself or the content of another instance, and publishes the view. It
+// sends hints about a new revision, and about a store that has stopped responding, so that the next reader takes over.
+func (f *Follower) apply(e Event, fromStore bool) {
 	old := f.published.Load()
 	f.state = f.state.Decide(e, f.Clock.Now())
 	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter, away: f.unreachable}
@@ -201,8 +200,8 @@
 	if old.view.Table == nil && next.view.Table != nil {
 		close(f.hasTable)
 	}
-	if r := next.state.Revision(); r > old.state.Revision() {
-		f.sendHints(r)
+	if r := next.state.Revision(); r > old.state.Revision() || fromStore && next.away && !old.away {
+		f.sendHints(r, fromStore)
 	}
 }
 
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -70,8 +71,7 @@
 	}
 }
 
-// fakeMesh connects followers. The one named "reader" reads the store, the one named "listener" does while the first has no
-// current content, and the others do not.
+// fakeMesh connects followers, whose names determine their part in reading the store.
 type fakeMesh struct {
 	self  string
 	peers map[string]*feed.Follower
@@ -86,16 +86,27 @@
 func (m *fakeMesh) Converging() bool { return false }
 
 func (m *fakeMesh) ReaderPlan() member.ReaderPlan {
-	switch m.self {
-	case "reader":
-		return member.ReaderPlan{Reader: true, Fallbacks: []string{"listener"}, Followers: []string{"listener", "leaf"}, Instances: fleetSize}
-	case "listener":
-		return member.ReaderPlan{Reader: true, Sources: []string{"reader"}, Instances: fleetSize}
-	default:
-		return member.ReaderPlan{Sources: []string{"reader", "listener"}, Instances: fleetSize}
+	var readers, others []string
+	for _, n := range readerOrder {
+		if _, ok := m.peers[n]; ok {
+			readers = append(readers, n)
+		}
+	}
+	for n := range m.peers {
+		if n != m.self {
+			others = append(others, n)
+		}
 	}
+	p := member.ReaderPlan{Sources: readers, Relays: others, Instances: fleetSize}
+	if at := slices.Index(readers, m.self); at >= 0 {
+		p.Reader, p.Sources, p.Fallbacks = true, readers[:at], readers[at+1:]
+	}
+	return p
 }
 
+// readerOrder holds the names of the followers that read the store, in the order of their turn; the others do not.
+var readerOrder = []string{"reader", "listener", "third"}
+
 // fleetSize is the number of instances that the followers know of; with it, an instance that is not to read the store asks
 // it every 20 s in the mean.
 const fleetSize = 200
@@ -226,6 +237,24 @@
 		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
 	})
 
+	// Pattern: the store turns away the instances that read it. Guards against content that nobody confirms, which occurs when
+	// the others wait for a reader that cannot read.
+	It("follow a later reader while the store turns the first ones away", func() {
+		peers, sources := fleet(400, "reader", "listener", "third", "leaf")
+		for _, f := range peers {
+			go f.Run(ctx)
+		}
+		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
+		for _, n := range []string{"reader", "listener", "leaf"} {
+			sources[n].down.Store(true)
+		}
+		sources["third"].revision.Store(2)
+		for _, f := range peers {
+			Eventually(version(f)).WithTimeout(3 * time.Second).Should(Equal(uint64(2)))
+		}
+		Expect(peers["leaf"].Requests.Load()).To(BeZero())
+	})
+
 	// Pattern: the store turns a third of the instances away. Guards against requests of the instances behind a reader that is
 	// turned away, and against content that nobody confirms.
 	It("follow the next reader while the store turns the first one away", func() {
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -20,15 +20,17 @@
 	readerRequestInterval = 500 * hoist.Millis(1)
 	// readerTimeout limits the response of a source.
 	readerTimeout = 250 * hoist.Millis(1)
-	// silentTime is the time for which a source that did not respond is asked last.
-	silentTime = hoist.Second
+	// readerRepeatDelay is the time after which a request without a response is repeated, in case a datagram was lost.
+	readerRepeatDelay = 100 * hoist.Millis(1)
+	// minSilentTime and maxSilentTime limit the time for which a source that did not respond is not asked; it doubles with each
+	// time. The membership excludes an instance that is lost, but knows of a loss in another data centre only after seconds.
+	minSilentTime = hoist.Second
+	maxSilentTime = 4 * hoist.Second
 	// convergencePollInterval is the interval of checks of the membership while it converges; a current list needs no request to
 	// the store until then.
 	convergencePollInterval = 100 * hoist.Millis(1)
 	// startPollInterval is the interval of requests of an instance that has no content yet.
 	startPollInterval = 50 * hoist.Millis(1)
-	// maxMissedResponses is the number of rounds without a response after which a reader uses the store.
-	maxMissedResponses = 2
 	// storeRetryDelay is the mean delay between two requests to a store that does not respond to this instance.
 	storeRetryDelay = 2 * hoist.Second
 	// instanceStoreInterval is the mean time between two requests of the whole region to the store while no reader has current
@@ -93,24 +95,24 @@
 	if plan.Reader && f.listed && f.unreachable && f.Clock.Now() >= f.nextStoreRequest {
 		return false
 	}
-	silent := true
 	for _, s := range f.sources(plan) {
 		e, err := f.requestReader(ctx, s, f.maxReaderAge(plan))
 		if err == nil {
+			delete(f.silences, s)
 			f.applyResponse(e, slices.Contains(plan.Sources, s))
 			f.waitForHint(ctx, readerRequestInterval)
 			return true
 		}
 		if errors.Is(err, errReaderSilent) {
-			f.silentUntil[s] = f.Clock.Now() + silentTime
+			f.silences[s] = f.silences[s].longer(f.Clock.Now())
 			continue
 		}
-		silent = false
+		delete(f.silences, s)
 		if errors.Is(err, errReaderEmpty) && !f.listed {
 			break // The source is starting as well, and sends a hint when it has content.
 		}
 	}
-	return ctx.Err() != nil || f.postponeStore(ctx, plan, silent)
+	return ctx.Err() != nil || f.postponeStore(ctx, plan)
 }
 
 // maxReaderAge returns the age above which the content of a source is behind. The instances that do not read the store get
@@ -123,7 +125,18 @@
 	return age
 }
 
-// sources returns the instances to ask, those that did not respond lately only if there is no other.
+// silence is the time for which a source is not asked because it did not respond.
+type silence struct{ duration, until hoist.Millis }
+
+// longer returns the silence after another request without a response.
+func (s silence) longer(now hoist.Millis) silence {
+	s.duration = max(minSilentTime, min(2*s.duration, maxSilentTime))
+	s.until = now + s.duration
+	return s
+}
+
+// sources returns the instances to ask. Those that did not respond lately are left out, so that they do not delay the others
+// or the store.
 func (f *Follower) sources(plan member.ReaderPlan) []string {
 	names := slices.Clone(plan.Sources)
 	if f.unreachable {
@@ -133,26 +146,23 @@
 		}
 	}
 	now := f.Clock.Now()
-	if responsive := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return now < f.silentUntil[n] }); len(responsive) > 0 {
-		return responsive
-	}
-	return names
+	return slices.DeleteFunc(names, func(n string) bool { return now < f.silences[n].until })
 }
 
 // applyResponse applies the response of another instance. Only an instance that is closer to the store than this one proves
 // that the store can be followed; the content of others may come from this one.
 func (f *Follower) applyResponse(e Event, closer bool) {
-	f.missedResponses, f.listed = 0, true
+	f.listed = true
 	if closer {
 		f.nextStoreRequest = 0
 		f.logReachability(nil)
 	}
-	f.apply(e)
+	f.apply(e, false)
 }
 
 // postponeStore waits instead of a request to the store; it returns false if the store is to be used now. No source has
-// current content, and silent says that none responded.
-func (f *Follower) postponeStore(ctx context.Context, plan member.ReaderPlan, silent bool) bool {
+// current content.
+func (f *Follower) postponeStore(ctx context.Context, plan member.ReaderPlan) bool {
 	now := f.Clock.Now()
 	first := plan.Reader && len(plan.Sources) == 0
 	switch {
@@ -162,17 +172,11 @@
 			return true
 		}
 		return !first && !f.mayRequestStore(ctx, plan, now)
-	case first:
-		return false
 	case plan.Reader:
-		if f.missedResponses++; silent && f.missedResponses < maxMissedResponses {
-			return true
-		}
-		f.missedResponses = 0
 		return false
 	default:
 		f.logReachability(errReaderBehind)
-		f.apply(Failed{})
+		f.apply(Failed{}, false)
 		return !f.mayRequestStore(ctx, plan, now)
 	}
 }
@@ -210,38 +214,52 @@
 // request, however long it took and whether or not this process was suspended in between.
 func (f *Follower) requestReader(ctx context.Context, reader string, maxAge hoist.Millis) (Event, error) {
 	requestedAt := f.Clock.Now()
+	content, err := f.exchange(ctx, reader, readerRepeatDelay)
+	if errors.Is(err, errReaderSilent) {
+		requestedAt = f.Clock.Now()
+		content, err = f.exchange(ctx, reader, readerTimeout-readerRepeatDelay)
+	}
+	if err != nil {
+		return nil, err
+	}
+	message := &wire.FeedAnswer{}
+	if err := proto.Unmarshal(content, message); err != nil {
+		return nil, err
+	}
+	response := wire.FeedAnswerValue(message)
+	if response.Gap() {
+		return nil, errReaderEmpty
+	}
+	if response.Away() || hoist.Millis(response.AgeMs()) > maxAge {
+		return nil, errReaderBehind
+	}
+	records := make([]value.FeedRecord, 0, response.Records().Len())
+	for r := range response.Records().All() {
+		records = append(records, r)
+	}
+	changes, confirmedAt := Changes{records, response.Revision()}, requestedAt-hoist.Millis(response.AgeMs())
+	var reachableSince hoist.Millis
+	if response.BackMs() > 0 {
+		reachableSince = f.Clock.Now() - hoist.Millis(response.BackMs())
+	}
+	if response.Whole() {
+		return Listed{changes, confirmedAt, reachableSince}, nil
+	}
+	return Changed{changes, confirmedAt, reachableSince}, nil
+}
+
+// exchange sends one request and returns the content of the response. A repeated request has a number of its own, so that
+// the fragments of two responses are never joined.
+func (f *Follower) exchange(ctx context.Context, reader string, timeout hoist.Millis) ([]byte, error) {
 	pending := f.readerRequests.start()
 	f.Mesh.SendTo(reader, value.FeedAsk{}.WithNumber(pending.number).WithRevision(f.state.Revision()))
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-f.Clock.After(readerTimeout):
+	case <-f.Clock.After(timeout):
 		return nil, errReaderSilent
 	case content := <-pending.done:
-		message := &wire.FeedAnswer{}
-		if err := proto.Unmarshal(content, message); err != nil {
-			return nil, err
-		}
-		response := wire.FeedAnswerValue(message)
-		if response.Gap() {
-			return nil, errReaderEmpty
-		}
-		if response.Away() || hoist.Millis(response.AgeMs()) > maxAge {
-			return nil, errReaderBehind
-		}
-		records := make([]value.FeedRecord, 0, response.Records().Len())
-		for r := range response.Records().All() {
-			records = append(records, r)
-		}
-		changes, confirmedAt := Changes{records, response.Revision()}, requestedAt-hoist.Millis(response.AgeMs())
-		var reachableSince hoist.Millis
-		if response.BackMs() > 0 {
-			reachableSince = f.Clock.Now() - hoist.Millis(response.BackMs())
-		}
-		if response.Whole() {
-			return Listed{changes, confirmedAt, reachableSince}, nil
-		}
-		return Changed{changes, confirmedAt, reachableSince}, nil
+		return content, nil
 	}
 }
 
@@ -326,12 +344,18 @@
 	}
 }
 
-// sendHints informs the instances that ask this one first about a new revision.
-func (f *Follower) sendHints(revision int64) {
+// sendHints tells the instances that take the content from this one that they should ask for it again. Content of the
+// store, and a store that stops responding, concern the local readers and the other readers as well.
+func (f *Follower) sendHints(revision int64, fromStore bool) {
 	if f.Mesh == nil {
 		return
 	}
-	for _, n := range f.Mesh.ReaderPlan().Followers {
+	plan := f.Mesh.ReaderPlan()
+	names := plan.Followers
+	if fromStore {
+		names = slices.Concat(plan.Relays, names)
+	}
+	for _, n := range names {
 		f.Mesh.SendTo(n, value.FeedHint{}.WithRevision(revision))
 	}
 }
--- a/member/reader.go
+++ b/member/reader.go
@@ -8,9 +8,8 @@
 
 const (
 	// maxStoreReaders is the number of instances of a region that read the store in turn, each one only while those before
-	// it have no current content. With a third of the instances turned away by the store, the chance that all of them are is
-	// below 1%.
-	maxStoreReaders = 5
+	// it have no current content. A store may turn away a third of the instances, and the first readers among them.
+	maxStoreReaders = 16
 	// storeReaderKey and localReaderKey are the rendezvous keys of the store readers of a region and of the local reader of
 	// a data centre.
 	storeReaderKey = "store/region"
@@ -28,7 +27,9 @@
 	Reader bool
 	// Fallbacks are the instances that a reader asks while the store does not respond to it.
 	Fallbacks []string
-	// Followers are the instances that ask this one first.
+	// Relays are the instances to tell of new content of the store: the local readers and the other readers.
+	Relays []string
+	// Followers are the other instances of the data centre if this one is their local reader.
 	Followers []string
 	// Instances is the number of live instances of the region.
 	Instances int
@@ -39,14 +40,11 @@
 	self := v.Self()
 	region := membersOf(v.Members(), func(m value.Member) bool { return m.Region() == self.Region() })
 	readers := storeReaders(region)
-	p := ReaderPlan{Instances: len(region)}
+	p := ReaderPlan{Instances: len(region), Relays: withoutRepeats(slices.Concat(readers, localReaders(region)), self.Name())}
 	local := localReader(region, self.Datacentre())
 	if at := slices.Index(readers, self.Name()); at >= 0 {
 		p.Reader = true
 		p.Sources, p.Fallbacks = readers[:at], readers[at+1:]
-		if at == 0 {
-			p.Followers = slices.Concat(p.Fallbacks, localReaders(region))
-		}
 	} else {
 		p.Sources = readers
 		if local != self.Name() {
--- a/member/reader_test.go
+++ b/member/reader_test.go
@@ -47,17 +47,18 @@
 		Expect(p.Instances).To(Equal(len(members)))
 		Expect(p.Sources).NotTo(ContainElement(name))
 		Expect(p.Followers).NotTo(ContainElement(name))
+		Expect(p.Relays).NotTo(ContainElement(name))
 		// Guards against content that no reader confirms because instances ask each other in a circle.
 		at, steps := name, 0
 		for ; len(plans[at].Sources) > 0; steps++ {
 			next := plans[at].Sources[0]
-			Expect(plans[next].Followers).To(ContainElement(at))
+			Expect(append(plans[next].Followers, plans[next].Relays...)).To(ContainElement(at))
 			at = next
 		}
 		Expect(steps).To(BeNumerically("<=", 2))
 		Expect(at).To(Equal(roots[0]))
 	}
-	Expect(readers).To(Equal(min(datacentres*max(large, 1), 5)))
+	Expect(readers).To(Equal(min(datacentres*max(large, 1), 16)))
 	// Guards against a reader that only the instances of its own data centre know.
 	for _, p := range plans {
 		if !p.Reader {
