event, mesh, relay, feed: Contain a panic to the message or request that caused it

Cause: only net/http recovered panics, and its log is discarded. A panic in the handling of a datagram, of an event of a shard or of the view of the store ended the process. Change: Contain logs the panic with its stack (event 704) and ends what was handled. States are immutable and replaced at the end, so that the state before stays in use. A request whose handling panics releases its server and ends as one that may have run. An answer that cannot be encoded is logged instead of a panic. Ruled out: ending the process at a repeated panic, because a message can be repeated by its sender.

--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,11 @@
 	./http1/... ./edge/... ./daemon/... ./cmd/standin/system/...
 SEED ?= 1
 DURATION ?= 60
+FUZZTIME ?= 5s
 # The short proof leaves out the scenarios that wait longest; it takes less than 90 s.
 SHORT := stop kill engines poison frames publish partition
 
-.PHONY: demo test race bench soak soak-processes soak-regressions capacity proof proof-short cost generate format lint vet build
+.PHONY: demo test fuzz race bench soak soak-processes soak-regressions capacity proof proof-short cost generate format lint vet build
 
 build:
 	mkdir -p bin
@@ -21,6 +22,11 @@
 test:
 	go test $(MODULES)
 
+# Fuzzes the decoders of what the store and other instances send.
+fuzz:
+	go test ./platform -run FuzzTranslate -fuzz FuzzTranslate -fuzztime $(FUZZTIME)
+	go test ./mesh -run FuzzDatagram -fuzz FuzzDatagram -fuzztime $(FUZZTIME)
+
 bench:
 	go run ./cmd/hoistbench bench
 
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -97,6 +97,7 @@
 	RequestEnded       = Code{700, logrus.InfoLevel, "request has ended", "See docs/OPERATIONS.md for how to trace a request to its cause."}
 	AttemptFailed      = Code{701, logrus.InfoLevel, "attempt at a backend server has failed", "Check the server if it recurs."}
 	CrashAttributed    = Code{703, logrus.WarnLevel, "backend server crashed while it ran a request; the crash is attributed to its content", "Check the server if crashes are attributed to other content as well."}
+	PanicContained     = Code{704, logrus.ErrorLevel, "handling of a message or request has panicked and was ended", "Report the line with its stack; the process keeps serving."}
 	RequestQuarantined = Code{702, logrus.WarnLevel, "request was rejected because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -113,7 +114,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained,
 		InvariantViolated,
 	}
 }
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -98,29 +98,37 @@
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if f.followPeers(ctx) {
-			delay = minRetryDelay
-			continue
-		}
-		e, err := f.requestStore(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		f.logReachability(err)
-		f.apply(e, true)
-		switch {
-		case err == nil:
-			delay = minRetryDelay
-			f.coalesce(ctx, e)
-		case !errors.Is(err, ErrCompacted):
-			f.Failures.Add(1)
-			f.nextStoreRequest = f.Clock.Now() + storeRetryDelay/2 + rand.N(storeRetryDelay)
-			f.sleep(ctx, delay/2+rand.N(delay))
-			delay = min(2*delay, maxRetryDelay)
+		if !f.Log.Contain("store view", func() { delay = f.followOnce(ctx, delay) }) {
+			f.sleep(ctx, maxRetryDelay)
 		}
 	}
 }
 
+// followOnce takes one step of following the store; it returns the mean delay after the next failed request.
+func (f *Follower) followOnce(ctx context.Context, delay hoist.Millis) hoist.Millis {
+	if f.followPeers(ctx) {
+		return minRetryDelay
+	}
+	e, err := f.requestStore(ctx)
+	if ctx.Err() != nil {
+		return delay
+	}
+	f.logReachability(err)
+	f.apply(e, true)
+	switch {
+	case err == nil:
+		f.coalesce(ctx, e)
+		return minRetryDelay
+	case errors.Is(err, ErrCompacted):
+		return delay
+	default:
+		f.Failures.Add(1)
+		f.nextStoreRequest = f.Clock.Now() + storeRetryDelay/2 + rand.N(storeRetryDelay)
+		f.sleep(ctx, delay/2+rand.N(delay))
+		return min(2*delay, maxRetryDelay)
+	}
+}
+
 // coalesce waits after a response with changes, so that a quick series of changes takes one request.
 func (f *Follower) coalesce(ctx context.Context, e Event) {
 	if c, ok := e.(Changed); !ok || len(c.Changes.Records) == 0 {
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -7,9 +7,11 @@
 	"slices"
 	"sync"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/value"
 	"chicoryhoist.example/hoist/wire"
@@ -335,7 +337,8 @@
 	}
 	content, err := proto.Marshal(wire.FeedAnswerWire(response))
 	if err != nil {
-		panic(err) // Impossible: the decoder has checked that strings of the store are valid UTF-8.
+		f.Log.Write(event.MeshSendFailed, logrus.Fields{"to": to, "error": err.Error()})
+		return
 	}
 	count := max(1, (len(content)+fragmentBytes-1)/fragmentBytes)
 	for i := range count {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -157,7 +157,7 @@
 			m.expireExchanges(now)
 			m.requestMembers(now)
 		}
-		m.decide(in)
+		m.Log.Contain("membership", func() { m.decide(in) })
 	}
 }
 
@@ -182,15 +182,22 @@
 			m.Log.Write(event.MeshReadFailed, logrus.Fields{"error": err.Error()})
 			continue
 		}
-		d := &wire.Datagram{}
-		if err := proto.Unmarshal(b[:n], d); err != nil {
+		if !m.Log.Contain("datagram", func() { m.receive(b[:n], from) }) {
 			m.Invalid.Add(1)
-			continue
 		}
-		m.dispatch(wire.DatagramValue(d), from)
 	}
 }
 
+// receive decodes and dispatches one datagram.
+func (m *Mesh) receive(b []byte, from netip.AddrPort) {
+	d := &wire.Datagram{}
+	if err := proto.Unmarshal(b, d); err != nil {
+		m.Invalid.Add(1)
+		return
+	}
+	m.dispatch(wire.DatagramValue(d), from)
+}
+
 // dispatch passes a datagram to the membership or to OnMessage.
 func (m *Mesh) dispatch(d value.Datagram, from netip.AddrPort) {
 	switch b := d.Body().(type) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -53,6 +53,31 @@
 // liveCount returns the number of live instances in a view.
 func liveCount(m *mesh.Mesh) func() int { return func() int { return len(m.View().Members()) } }
 
+var _ = Describe("an instance", func() {
+	// Guards against a message that ends the process of its receiver.
+	It("serves on after a datagram whose handling panics", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		p := port()
+		got := make(chan string, 1)
+		first := start(ctx, 1, p, func(_ string, b mesh.Body) {
+			n, ok := b.(value.PlaceNote)
+			if ok && n.Shard() == "bad" {
+				panic("unexpected")
+			}
+			if ok {
+				got <- n.Shard()
+			}
+		})
+		second := start(ctx, 2, p, func(string, mesh.Body) {})
+		Eventually(liveCount(second)).WithTimeout(20 * time.Second).Should(Equal(2))
+		second.SendTo("n1", value.PlaceNote{}.WithShard("bad"))
+		second.SendTo("n1", value.PlaceNote{}.WithShard("good"))
+		Eventually(got).WithTimeout(5 * time.Second).Should(Receive(Equal("good")))
+		Expect(first.Invalid.Load()).To(BeNumerically(">=", 1))
+	})
+})
+
 var _ = Describe("instances", func() {
 	// Guards against instances that do not discover each other, messages that do not arrive, and ended instances that
 	// remain in the view.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -41,7 +41,7 @@
 		o := j.failureOutcome(ctx, err)
 		j.reportAttempt(id, s, o, err)
 		if _, lost := o.(ResponseLost); lost {
-			go j.attributeCrash(s)
+			j.probeCrash(s)
 		}
 		return o
 	}
@@ -57,7 +57,7 @@
 	}
 	j.reportAttempt(id, s, o, err)
 	if _, interrupted := o.(Interrupted); interrupted && !errors.Is(err, errEventOrder) {
-		go j.attributeCrash(s)
+		j.probeCrash(s)
 	}
 	return o
 }
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -78,18 +78,23 @@
 			reconcile = d.clock.After(reconcileInterval)
 			continue
 		}
+		d.log.Contain("shard "+d.shard, func() { d.decide(e) })
 		now := d.clock.Now()
-		s, effects := d.state.Load().Decide(e, now)
-		d.state.Store(&s)
-		for _, x := range effects {
-			d.deliver(x)
-		}
-		if at, ok := s.Wake(now); ok && wake == nil {
+		if at, ok := d.state.Load().Wake(now); ok && wake == nil {
 			wake = d.clock.After(max(at-now, 1))
 		}
 	}
 }
 
+// decide applies an event to the state and carries out the effects.
+func (d *dispatcher) decide(e assign.Event) {
+	s, effects := d.state.Load().Decide(e, d.clock.Now())
+	d.state.Store(&s)
+	for _, x := range effects {
+		d.deliver(x)
+	}
+}
+
 // deliver sends an effect to the request that waits for it, here or at another instance.
 func (d *dispatcher) deliver(x assign.Effect) {
 	var origin string
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -95,5 +95,10 @@
 	j.Mesh.Submit(member.ItemPublished{Body: q})
 }
 
+// probeCrash checks in the background whether the server has crashed.
+func (j *job) probeCrash(s value.BackendServer) {
+	go j.Log.Contain("crash probe", func() { j.attributeCrash(s) })
+}
+
 // crashProbeTimeout bounds the connection attempt to a server that may have crashed.
 const crashProbeTimeout = 300 * hoist.Millis(1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -102,6 +102,8 @@
 	serviceName string
 	progress    Progress
 	avoid       value.List[string]
+	// attemptID is the ID of the last attempt.
+	attemptID uint64
 	// charged is set if the next attempt counts against the retry budget.
 	charged bool
 	// lastEventID is the ID of the last forwarded event; it is valid if hasEventID is set.
@@ -136,10 +138,19 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, (j.progress.Deadline - r.Clock.Now()).Duration(), errDeadline)
 	defer cancel()
-	j.serve(ctx)
+	if !r.Log.Contain("request", func() { j.serve(ctx) }) {
+		j.abandon()
+	}
 	j.record()
 }
 
+// abandon ends a request whose handling has panicked: its server is released, and it may have run.
+func (j *job) abandon() {
+	j.dispatcher.finished(j.attemptID, assign.ResultCancelled)
+	j.progress.Runs++
+	j.finish(j.progress.StepUnplaced(false))
+}
+
 // awaitTable waits for the route table of an instance that has just started: callers repeat a rejected request only a few
 // times, and the table usually arrives within a fraction of a second.
 func (r *Relay) awaitTable(ctx context.Context, q Request) {
@@ -208,6 +219,7 @@
 func (j *job) serve(ctx context.Context) {
 	for {
 		id := j.nextID.Add(1)
+		j.attemptID = id
 		a := j.dispatcher.place(ctx, j.work(id))
 		if a.Verdict() != value.PlaceVerdictGranted {
 			j.finishUnplaced(ctx, a)
