feed: Test that a starting instance takes no unconfirmed content

Cause: operators of similar systems report servers that left, or keys that were withdrawn, in use again after a restart. Change: a test of the follower; a comment of daemon reworded. Result: it cannot happen here; the test passes on the code before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,7 +34,7 @@
 	idleTimeout = 4 * hoist.Second
 	// responseHeaderTimeout bounds the time in which a response header arrives; it allows for a few retransmissions.
 	responseHeaderTimeout = 3 * hoist.Second
-	// maxUnframedBytes bounds a response that states no length; responses of this size state one.
+	// maxUnframedBytes bounds a response that states no length, so that one without end is noticed.
 	maxUnframedBytes = 64 << 20
 	// watchDivisor divides the revocation bound into the timeout of one watch, so that the store view is confirmed
 	// several times within the bound.
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -237,6 +237,24 @@
 		Eventually(version(peers["leaf"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
 	})
 
+	// Guards against a key that was withdrawn, or a server that has left, being in use again after a restart, which occurs when
+	// the new process takes the content of an instance that has not confirmed it lately.
+	It("take no content at their start that is no longer confirmed", func() {
+		peers, sources := fleet(100, "reader", "leaf")
+		go peers["reader"].Run(ctx)
+		Eventually(version(peers["reader"])).WithTimeout(5 * time.Second).Should(Equal(uint64(1)))
+		sources["reader"].down.Store(true)
+		Eventually(func() hoist.Millis { return peers["reader"].View().Age(hoist.NewBootClock().Now()) }).
+			WithTimeout(5 * time.Second).Should(BeNumerically(">", 1000))
+		sources["leaf"].revision.Store(2)
+		sources["leaf"].down.Store(true)
+		go peers["leaf"].Run(ctx)
+		Consistently(version(peers["leaf"])).WithTimeout(2 * time.Second).Should(BeZero())
+		sources["reader"].revision.Store(2)
+		sources["reader"].down.Store(false)
+		Eventually(version(peers["leaf"])).WithTimeout(10 * time.Second).Should(Equal(uint64(2)))
+	})
+
 	// Pattern: the store turns away the instances that read it. Guards against content that nobody confirms, which occurs when
 	// the others wait for a reader that cannot read.
 	It("follow a later reader while the store turns the first ones away", func() {
