cmd/standin/system: Give each environment an address of its own

Traced on a scratch copy that prints the error of the process: in 60 runs of the suite, up to 36 at a time, one failed with "bind: address already in use". Ports were closed before the next one was chosen, and the router of an earlier environment listens until it is drained, on UDP as well. Change: the IP address is that of the process and of one environment, and all ports are held until the last is chosen. Ruled out: holding the ports alone; with it one of 36 runs failed in the same way. Result: 36 runs at a time with the race detector, no failure.

--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,13 +84,22 @@
 	return l.Addr().String()
 }
 
-// freeAddress returns a loopback address on which no process listens. The IP address is that of this process, so that no
-// other process takes the port before the router listens on it.
-func freeAddress() string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.3.%d.%d:0", os.Getpid()>>8&0xff, os.Getpid()&0xff))
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// environments counts the environments of this process.
+var environments atomic.Int32
+
+// freeAddresses returns loopback addresses on which nothing listens. Their IP address is that of this process and of one
+// environment, because the router of an earlier one listens until it is drained; all are held open until the last is
+// chosen, so that they differ.
+func freeAddresses(n int) []string {
+	ip := fmt.Sprintf("127.%d.%d.%d", 3+environments.Add(1)%200, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
 
 // publish writes the next version of the configuration, in which the workspace south has the API keys.
@@ -117,8 +127,9 @@
 	}
 	f.publish(`"k3"`)
 	prepare(f.store)
-	callers, ready := freeAddress(), freeAddress()
-	text := fmt.Sprintf(settingsFormat, 1, callers, ready, freeAddress(), f.serve(f.store.Handler()), freeAddress())
+	free := freeAddresses(4)
+	callers, ready := free[0], free[1]
+	text := fmt.Sprintf(settingsFormat, 1, callers, ready, free[2], f.serve(f.store.Handler()), free[3])
 	s, findings := config.ParseForwardSettings("settings.toml", []byte(text))
 	Expect(findings).To(BeEmpty())
 	logger := logrus.New()
