relay: Name the content of requests in the events of failed attempts

Cause: a request that crashes servers was reported to be sent again and again. Events 701 to 703 name the request id, which is new with each repeat, and nothing is logged if a lost response is checked without finding a crash, so the log could not show whether the crashes were attributed to other content, not spread, or not noticed. Change: events 701, 702 and 703 have the hash of the content, and event 705 says that a lost response was checked without result.

--- a/event/catalog.go
+++ b/event/catalog.go
@@ -98,6 +98,7 @@
 	AttemptFailed      = Code{701, logrus.InfoLevel, "attempt at a backend server has failed", "Check the server if it recurs."}
 	CrashAttributed    = Code{703, logrus.WarnLevel, "backend server crashed while it ran a request; the crash is attributed to its content", "Check the server if crashes are attributed to other content as well."}
 	PanicContained     = Code{704, logrus.ErrorLevel, "handling of a message or request has panicked and was ended", "Report the line with its stack; the process keeps serving."}
+	CrashUnconfirmed   = Code{705, logrus.InfoLevel, "response of a backend server was lost, but no crash is attributed to the request", "None; many of them point to the network or to the server."}
 	RequestQuarantined = Code{702, logrus.WarnLevel, "request was rejected because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -114,7 +115,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed,
 		InvariantViolated,
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -119,7 +119,10 @@
 	if result == assign.ResultOK || result == assign.ResultCancelled {
 		return
 	}
-	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "address": s.Address(), "sends": j.progress.Sends + 1, "outcome": outcomeName(o)}
+	fields := logrus.Fields{
+		"request": j.request.ID, "server": s.Id(), "address": s.Address(), "sends": j.progress.Sends + 1, "outcome": outcomeName(o),
+		"content": contentName(fingerprint(j.request)),
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,9 @@
 	return d.Sum64() | 1
 }
 
+// contentName returns the name of a fingerprint in logs.
+func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // quarantined reports whether the content of the request is quarantined, and for how long. The body is hashed only if
 // some content is suspected.
 func (g *guard) quarantined(r Request) (hoist.Millis, bool) {
@@ -84,14 +88,18 @@
 func (j *job) attributeCrash(s value.BackendServer) {
 	ctx, cancel := context.WithTimeout(j.ctx, crashProbeTimeout.Duration())
 	defer cancel()
+	f := fingerprint(j.request)
+	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(f)}
 	if !j.Client.Refused(ctx, s.Address()) {
+		j.Log.Write(event.CrashUnconfirmed, fields)
 		return
 	}
-	q, ok := j.guard.recordCrash(s.Id(), fingerprint(j.request))
+	q, ok := j.guard.recordCrash(s.Id(), f)
 	if !ok {
 		return
 	}
-	j.Log.Write(event.CrashAttributed, logrus.Fields{"request": j.request.ID, "server": s.Id(), "crashes": q.Crashes()})
+	fields["crashes"] = q.Crashes()
+	j.Log.Write(event.CrashAttributed, fields)
 	j.Mesh.Submit(member.ItemPublished{Body: q})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -191,7 +191,9 @@
 		}
 	}
 	if after, ok := j.guard.quarantined(j.request); ok {
-		j.Log.Write(event.RequestQuarantined, logrus.Fields{"request": j.request.ID, "route": j.route.Name(), "workspace": j.workspace.Name()})
+		j.Log.Write(event.RequestQuarantined, logrus.Fields{
+			"request": j.request.ID, "route": j.route.Name(), "workspace": j.workspace.Name(), "content": contentName(fingerprint(j.request)),
+		})
 		return Quarantined{After: after}
 	}
 	j.rank = t.Rank(j.route, j.workspace)
