relay: Check every lost response for a crash of its server

What callers saw: a request that crashes servers was sent to one server after the other. Streams of other callers on these servers broke off each time. Cause: an attempt checked for a crash only if no header had been received, or if a part of the response had been forwarded. A response lost in between, after its header and before its first event or the end of a buffered body, ended on a path without the check. That is where an engine ends that crashes when it begins to answer. Class of fault: one outcome reached on two paths, and a consequence that hung on the path instead of the outcome. Change: suggestsCrash decides by the outcome alone, next to the steps; the connection is released by the outcome as well.

--- a/cmd/standin/origin/server.go
+++ b/cmd/standin/origin/server.go
@@ -81,6 +81,40 @@
 	mu             sync.Mutex
 	fault          Fault
 	faultyRequests int
+	crash          Crash
+}
+
+// Crash describes the requests that crash a server, and how.
+type Crash struct {
+	// Deadly reports whether the request crashes the server that runs it; nil means that none does.
+	Deadly func(*http.Request) bool
+	// AfterHeader is set if the server sends the response header before it crashes.
+	AfterHeader bool
+	// Stop ends the process of the server.
+	Stop func()
+}
+
+// CrashOn makes the server crash as described.
+func (s *Server) CrashOn(c Crash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crash = c
+}
+
+// crashIfDeadly crashes the server if the request is deadly; it does not return then.
+func (s *Server) crashIfDeadly(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	c := s.crash
+	s.mu.Unlock()
+	if c.Deadly == nil || !c.Deadly(r) {
+		return
+	}
+	if c.AfterHeader {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush() // A caller that has disconnected needs no response.
+	}
+	c.Stop()
+	panic(http.ErrAbortHandler)
 }
 
 // New returns a server that waits for the delay before each response body and after each event of a stream.
@@ -139,6 +173,7 @@
 	if f != Unsealed {
 		w.Header().Set(sealHeader, s.id)
 	}
+	s.crashIfDeadly(w, r)
 	switch f {
 	case Reset:
 		panic(http.ErrAbortHandler)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,30 +36,37 @@
 
 // attempt sends the request to the server and forwards the response to the caller.
 func (j *job) attempt(ctx context.Context, id uint64, s value.BackendServer) Outcome {
+	o, err := j.exchange(ctx, id, s)
+	j.reportAttempt(id, s, o, err)
+	if suggestsCrash(o) {
+		j.probeCrash(s)
+	}
+	return o
+}
+
+// exchange sends the request, forwards the response and releases the connection.
+func (j *job) exchange(ctx context.Context, id uint64, s value.BackendServer) (Outcome, error) {
 	resp, err := j.Client.Do(ctx, s.Address(), j.serverRequest(s))
 	if err != nil {
-		o := j.failureOutcome(ctx, err)
-		j.reportAttempt(id, s, o, err)
-		if _, lost := o.(ResponseLost); lost {
-			j.probeCrash(s)
-		}
-		return o
+		return j.failureOutcome(ctx, err), err
 	}
 	o, err := j.handleResponse(ctx, id, resp)
-	if _, completed := o.(Completed); completed {
-		resp.Release()
-	} else if _, serverError := o.(ServerError); serverError && err == nil {
-		resp.Release()
-	} else if _, notRun := o.(NotRun); notRun && err == nil {
+	if wasReadCompletely(o) && err == nil {
 		resp.Release()
 	} else {
 		resp.Discard()
 	}
-	j.reportAttempt(id, s, o, err)
-	if _, interrupted := o.(Interrupted); interrupted && !errors.Is(err, errEventOrder) {
-		j.probeCrash(s)
+	return o, err
+}
+
+// wasReadCompletely reports whether the response behind the outcome was read to its end.
+func wasReadCompletely(o Outcome) bool {
+	switch o.(type) {
+	case Completed, ServerError, NotRun:
+		return true
+	case Unsent, ResponseLost, Interrupted, CallerDisconnected, Expired:
 	}
-	return o
+	return false
 }
 
 // serverRequest returns the request that is sent to the server.
--- a/relay/progress.go
+++ b/relay/progress.go
@@ -40,6 +40,16 @@
 func (CallerDisconnected) isOutcome() {}
 func (Expired) isOutcome()            {}
 
+// suggestsCrash reports whether the server may have crashed while it ran the request, wherever the response ended.
+func suggestsCrash(o Outcome) bool {
+	switch o.(type) {
+	case ResponseLost, Interrupted:
+		return true
+	case Unsent, NotRun, ServerError, Completed, CallerDisconnected, Expired:
+	}
+	return false
+}
+
 // Step is what to do after an attempt.
 //
 //sumtype:decl
