relay: Name the parts of prompts in the events of failed attempts

Cause: requests that share one part of their prompt crashed one server after the other. The log named the content of whole requests only, so it could not show which part the crashed servers had in common, nor whether its requests had begun. Change: events 701, 703 and 705 have the parts that other requests may share, and event 701 whether the attempt had received a whole event.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,6 +36,7 @@
 
 // attempt sends the request to the server and forwards the response to the caller.
 func (j *job) attempt(ctx context.Context, id uint64, s value.BackendServer) Outcome {
+	j.began = false
 	o, err := j.exchange(ctx, id, s)
 	j.reportAttempt(id, s, o, err)
 	if suggestsCrash(o) {
@@ -128,7 +129,7 @@
 	}
 	fields := logrus.Fields{
 		"request": j.request.ID, "server": s.Id(), "address": s.Address(), "sends": j.progress.Sends + 1, "outcome": outcomeName(o),
-		"content": contentName(fingerprint(j.request)),
+		"content": contentName(fingerprint(j.request)), "parts": partNames(j.request), "began": j.began,
 	}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -258,6 +259,7 @@
 			return j.unusableOutcome(ctx, err)
 		}
 		if first {
+			j.began = true
 			began()
 		}
 		j.writeHeader(resp.Status, resp.Header, -1)
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -46,6 +46,15 @@
 // contentName returns the name of a fingerprint in logs.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// partNames returns the names in logs of the parts of the prompt that other requests may share.
+func partNames(q Request) []string {
+	var names []string
+	for i := range q.Parts.Len() - 1 {
+		names = append(names, contentName(q.Parts.At(i).Id()))
+	}
+	return names
+}
+
 // quarantined reports whether the content of the request is quarantined, and for how long. The body is hashed only if
 // some content is suspected.
 func (g *guard) quarantined(r Request) (hoist.Millis, bool) {
@@ -89,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(j.ctx, crashProbeTimeout.Duration())
 	defer cancel()
 	f := fingerprint(j.request)
-	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(f)}
+	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(f), "parts": partNames(j.request)}
 	if !j.Client.Refused(ctx, s.Address()) {
 		j.Log.Write(event.CrashUnconfirmed, fields)
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,6 +106,8 @@
 	attemptID uint64
 	// charged is set if the next attempt counts against the retry budget.
 	charged bool
+	// began is set once the current attempt has received a whole event.
+	began bool
 	// lastEventID is the ID of the last forwarded event; it is valid if hasEventID is set.
 	lastEventID int64
 	hasEventID  bool
