relay, retry: Quarantine the prompt part that explains the crashes of servers

Cause: a crash was charged to the whole request only. Requests that share nothing but a part never met a charge of one another. Class of fault: the identity under which failures are counted is narrower than what causes them. Change: a crash is charged to the whole request and to the prompt parts that others may share, at the owner of the shard, which knows what every instance has running: a part in a response that has begun is sound. Of the contents that explain two crashes the one with the most crashes is quarantined, then the deepest part. The owner refuses requests with it; only what is quarantined or released spreads as gossip, not each charge. Reports about one process, known by its start time, are one crash. A quarantine lasts 30 s, four times longer after each further crash, and one request runs as a trial after it. Ruled out: charging all parts; the first part of the class is in every request. Result: the new test fails before with 6 crashes instead of 2, and passes.

--- a/assign/state.go
+++ b/assign/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"chicoryhoist.example/hoist"
@@ -40,6 +41,29 @@
 // Listed reports whether the server list of the shard is not empty.
 func (s State) Listed() bool { return s.servers.Len() > 0 }
 
+// Work returns the request that runs at a server.
+func (s State) Work(id uint64) (value.Work, bool) {
+	for x := range s.servers.All() {
+		if i := x.find(id); i >= 0 {
+			return x.runs.At(i).work, true
+		}
+	}
+	return value.Work{}, false
+}
+
+// Answering returns the requests at servers whose response has begun.
+func (s State) Answering() iter.Seq[value.Work] {
+	return func(yield func(value.Work) bool) {
+		for x := range s.servers.All() {
+			for r := range x.runs.All() {
+				if r.responded && !yield(r.work) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Runs reports whether the request runs at a server.
 func (s State) Runs(id uint64) bool {
 	for x := range s.servers.All() {
--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -37,25 +38,32 @@
 		return n
 	}
 
-	// Guards against a request that crashes one server after the other because its crashes are not attributed to it when the
-	// response ends between its header and its first byte.
-	DescribeTable("refuses the request after two crashes", func(host, path string, afterHeader bool) {
+	// crashOn makes the servers crash after the response header of the requests that deadly selects, or before it.
+	crashOn := func(afterHeader bool, deadly func(*http.Request) bool) {
 		for id, s := range f.servers {
-			s.CrashOn(origin.Crash{
-				Deadly:      func(r *http.Request) bool { return r.URL.Path == path },
-				AfterHeader: afterHeader, Stop: f.hosts[id].crash,
-			})
+			s.CrashOn(origin.Crash{Deadly: deadly, AfterHeader: afterHeader, Stop: f.hosts[id].crash})
 		}
+	}
+	// sendAll sends the requests one after the other, once the servers have restarted, and returns the last result. The
+	// first maxCrashes requests do not wait, because they find a server that has not crashed.
+	sendAll := func(send func(i int) result) result {
 		var last result
 		for i := range 3 * maxCrashes {
-			// The first requests find a server that has not crashed.
 			if i >= maxCrashes {
 				Eventually(running).WithTimeout(5 * time.Second).Should(BeTrue())
 			}
-			last = f.send(http.MethodGet, host, path, fmt.Sprint("c", i), "k1")
+			last = send(i)
 			// The crash is attributed after the response has failed.
 			time.Sleep(crashTime / 8)
 		}
+		return last
+	}
+
+	// Guards against a request that crashes one server after the other because its crashes are not attributed to it when the
+	// response ends between its header and its first byte.
+	DescribeTable("refuses the request after two crashes", func(host, path string, afterHeader bool) {
+		crashOn(afterHeader, func(r *http.Request) bool { return r.URL.Path == path })
+		last := sendAll(func(i int) result { return f.send(http.MethodGet, host, path, fmt.Sprint("c", i), "k1") })
 		Expect(crashes()).To(Equal(maxCrashes))
 		Expect(last.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(last.body).To(ContainSubstring("isolated"))
@@ -65,4 +73,21 @@
 		Entry("a plain request, before the response", "a.example", "/once/deadly", false),
 		Entry("a plain request, after the response header", "a.example", "/once/deadly", true),
 	)
+
+	// Guards against requests that crash one server after the other because they share a prompt part and nothing else, and
+	// against refusing sound requests that share the other parts.
+	It("refuses requests with a prompt part after two crashes, and serves those that share the other parts", func() {
+		const partsHeader = "Chicoryhoist-Prompt-Prefix"
+		crashOn(true, func(r *http.Request) bool { return strings.Contains(r.Header.Get(partsHeader), "dead:") })
+		last := sendAll(func(i int) result {
+			return f.send(http.MethodPost, "b.example", "/stream/", fmt.Sprint("d", i), "k1", partsHeader, fmt.Sprintf("f1:100,5a:50,dead:30,%x:10", 1000+i))
+		})
+		Expect(crashes()).To(Equal(maxCrashes))
+		Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(last.body).To(ContainSubstring("isolated"))
+		for i := range 4 {
+			id := fmt.Sprint("s", i)
+			Expect(f.send(http.MethodPost, "b.example", "/stream/", id, "k1", partsHeader, fmt.Sprintf("f1:100,5a:50,%x:10", 2000+i)).body).To(Equal(fullStream(id)))
+		}
+	})
 })
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -99,6 +99,7 @@
 	CrashAttributed    = Code{703, logrus.WarnLevel, "backend server crashed while it ran a request; the crash is attributed to its content", "Check the server if crashes are attributed to other content as well."}
 	PanicContained     = Code{704, logrus.ErrorLevel, "handling of a message or request has panicked and was ended", "Report the line with its stack; the process keeps serving."}
 	CrashUnconfirmed   = Code{705, logrus.InfoLevel, "response of a backend server was lost, but no crash is attributed to the request", "None; many of them point to the network or to the server."}
+	ContentReleased    = Code{706, logrus.InfoLevel, "content is no longer quarantined, because a server has answered it or other content explains the crashes", "None."}
 	RequestQuarantined = Code{702, logrus.WarnLevel, "request was rejected because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -115,7 +116,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased,
 		InvariantViolated,
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -129,7 +129,7 @@
 	}
 	fields := logrus.Fields{
 		"request": j.request.ID, "server": s.Id(), "address": s.Address(), "sends": j.progress.Sends + 1, "outcome": outcomeName(o),
-		"content": contentName(fingerprint(j.request)), "parts": partNames(j.request), "began": j.began,
+		"content": contentName(j.fingerprint), "parts": partNames(j.work(id)), "began": j.began,
 	}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -180,11 +180,14 @@
 	}
 	load, loaded := parseLoad(resp.Header.Get(d.Load()))
 	j.serverLoad = load
+	began := func() {
+		j.began = true
+		j.dispatcher.responded(id, load, loaded)
+	}
 	if resp.Status/100 == 2 && j.route.Kind() == value.RouteKindStream {
-		return j.forwardStream(ctx, resp, func() { j.dispatcher.responded(id, load, loaded) })
+		return j.forwardStream(ctx, resp, began)
 	}
-	j.dispatcher.responded(id, load, loaded)
-	return j.forwardBody(ctx, resp)
+	return j.forwardBody(ctx, resp, began)
 }
 
 // unusableOutcome returns the outcome of an attempt whose response cannot be used. If the deadline passed or the
@@ -199,11 +202,12 @@
 
 // forwardBody forwards a response that is not a stream. It buffers the body up to maxBufferedBytes and forwards the
 // rest of a longer one as it arrives.
-func (j *job) forwardBody(ctx context.Context, resp *http1.Response) (Outcome, error) {
+func (j *job) forwardBody(ctx context.Context, resp *http1.Response, began func()) (Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
 	if err != nil {
 		return j.unusableOutcome(ctx, err)
 	}
+	began()
 	if resp.Status/100 == 5 && len(body) < maxBufferedBytes {
 		j.errorResponse = &serverResponse{resp.Status, WithoutHopByHop(resp.Header), body}
 		return ServerError{}, nil
@@ -259,7 +263,6 @@
 			return j.unusableOutcome(ctx, err)
 		}
 		if first {
-			j.began = true
 			began()
 		}
 		j.writeHeader(resp.Status, resp.Header, -1)
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -53,6 +54,7 @@
 	state   atomic.Pointer[assign.State]
 	owner   atomic.Pointer[string]
 	waiters *sync.Map
+	guard   *guard
 	done    <-chan struct{}
 	// ownerBackoffUntil is the time until which the owner gets no placement requests.
 	ownerBackoffUntil atomic.Int64
@@ -192,6 +194,9 @@
 	if ctx.Err() != nil {
 		return value.PlaceAnswer{}
 	}
+	if refusal, ok := d.guard.admit(w); ok {
+		return refusal
+	}
 	d.post(assign.Submitted{Work: w})
 	for {
 		select {
@@ -226,7 +231,7 @@
 			case value.PlaceVerdictGranted:
 				d.post(assign.Placed{Run: value.PlaceRun{}.WithWork(w).WithServer(a.Server()).WithFresh(a.Fresh()), By: owner})
 				return a, true
-			case value.PlaceVerdictRefused:
+			case value.PlaceVerdictRefused, value.PlaceVerdictQuarantined:
 				return a, true
 			case value.PlaceVerdictForeign:
 				return a, false
@@ -260,8 +265,9 @@
 	d.mesh.SendTo(owner, n.WithShard(d.shard))
 }
 
-// responded reports the first byte of a response.
+// responded reports the first event of a stream, or the body of another response.
 func (d *dispatcher) responded(id uint64, load value.ServerLoad, loaded bool) {
+	d.clearContents(id, assign.ResultOK, false)
 	d.post(assign.Responded{ID: id, Load: load, Loaded: loaded})
 	if owner, ok := d.remoteOwner(d.clock.Now()); ok {
 		d.notify(owner, value.PlaceNote{}.WithId(id).WithChange(value.PlaceChangeBegan).WithLoad(load).WithLoaded(loaded))
@@ -270,12 +276,52 @@
 
 // finished reports the end of a request at its server.
 func (d *dispatcher) finished(id uint64, r assign.Result) {
+	d.clearContents(id, r, true)
 	d.post(assign.Finished{ID: id, Result: r})
 	if owner, ok := d.remoteOwner(d.clock.Now()); ok {
 		d.notify(owner, value.PlaceNote{}.WithId(id).WithChange(value.PlaceChangeEnded).WithResult(int32(r)))
 	}
 }
 
+// clearContents tells the guard what the response to a request, or its end, says about its contents. A server that has
+// sent its first event has computed all parts of the prompt; only a complete response clears the whole request.
+func (d *dispatcher) clearContents(id uint64, r assign.Result, ended bool) {
+	if d.guard.suspects.Load().Len() == 0 {
+		return
+	}
+	w, ok := d.state.Load().Work(id)
+	if !ok {
+		return
+	}
+	switch {
+	case !ended:
+		d.guard.answered(partContents(w))
+	case r == assign.ResultOK:
+		d.guard.answered(contentsOf(w))
+	case r != assign.ResultError:
+		d.guard.unanswered(contentsOf(w))
+	}
+}
+
+// crashed reports that a server crashed while it ran the contents to the guard and to the owner of the shard.
+func (d *dispatcher) crashed(s value.BackendServer, contents []value.Content) {
+	d.chargeCrash(s.Id(), s.Born(), contents)
+	if owner, ok := d.remoteOwner(d.clock.Now()); ok {
+		d.mesh.SendTo(owner, value.PlaceCrash{}.WithShard(d.shard).WithServer(s.Id()).WithBorn(s.Born()).WithContents(value.ListOf(contents...)))
+	}
+}
+
+// chargeCrash charges a crash to those of the contents that no request in progress shows to be sound.
+func (d *dispatcher) chargeCrash(server string, born int64, contents []value.Content) {
+	sound := map[uint64]bool{}
+	for w := range d.state.Load().Answering() {
+		for _, c := range partContents(w) {
+			sound[c.Fingerprint()] = true
+		}
+	}
+	d.guard.crashed(value.Charge{}.WithServer(server).WithBorn(born), contents, sound)
+}
+
 // handleMessage handles a message of another instance about this shard.
 func (d *dispatcher) handleMessage(sender string, b value.DatagramBody) {
 	now := d.clock.Now()
@@ -285,19 +331,36 @@
 			d.mesh.SendTo(sender, value.PlaceAnswer{}.WithShard(d.shard).WithId(b.Work().Id()).WithVerdict(value.PlaceVerdictForeign))
 			return
 		}
-		d.post(assign.Submitted{Work: assign.WithAbsoluteTimes(b.Work(), now)})
+		d.submit(sender, assign.WithAbsoluteTimes(b.Work(), now))
 	case value.PlaceNote:
 		switch b.Change() {
 		case value.PlaceChangeBegan:
+			d.clearContents(b.Id(), assign.ResultOK, false)
 			d.post(assign.Responded{ID: b.Id(), Load: b.Load(), Loaded: b.Loaded()})
 		case value.PlaceChangeEnded:
+			d.clearContents(b.Id(), assign.Result(b.Result()), true)
 			d.post(assign.Finished{ID: b.Id(), Result: assign.Result(b.Result())})
 		default:
 			d.post(assign.Cancelled{ID: b.Id()})
 			d.post(assign.Finished{ID: b.Id(), Result: assign.ResultCancelled})
 		}
+	case value.PlaceCrash:
+		d.chargeCrash(b.Server(), b.Born(), slices.Collect(b.Contents().All()))
 	case value.PlaceHolding:
 		d.post(assign.RunsReported{Origin: sender, Granted: b.Granted(), Runs: b.Runs()})
 	default:
 	}
 }
+
+// submit places the request of another instance, unless its content is quarantined. A request that is placed already gets
+// its grant again.
+func (d *dispatcher) submit(origin string, w value.Work) {
+	if !d.state.Load().Runs(w.Id()) {
+		if refusal, ok := d.guard.admit(w); ok {
+			d.post(assign.Cancelled{ID: w.Id()})
+			d.mesh.SendTo(origin, refusal.WithShard(d.shard))
+			return
+		}
+	}
+	d.post(assign.Submitted{Work: w})
+}
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"strconv"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"chicoryhoist.example/hoist"
@@ -15,18 +17,31 @@
 	"chicoryhoist.example/hoist/value"
 )
 
-// guard rejects content that has crashed servers.
+const (
+	// firstQuarantine is the duration of the first quarantine of a content. It is short, because the content may be sound if
+	// servers crashed for another reason; its trial costs one more server if it is not.
+	firstQuarantine = 30 * hoist.Second
+	// crashProbeTimeout bounds the connection attempt to a server that may have crashed.
+	crashProbeTimeout = 300 * hoist.Millis(1)
+)
+
+// guard refuses content that has crashed servers: whole requests, and parts that many prompts share.
+//
+// The owner of a shard learns of all responses and crashes there, so its guard decides about the requests of all
+// instances. The guards of the others decide when they reach no owner.
 type guard struct {
 	suspects atomic.Pointer[retry.Suspects]
 	// wallClock is used for crash records because they are compared between instances; clock steps of a few seconds
 	// are harmless.
 	wallClock hoist.Clock
+	log       *event.Log
+	mesh      Mesh
 }
 
 // newGuard returns a guard without suspected content.
-func newGuard() *guard {
-	g := &guard{wallClock: hoist.NewSystemClock()}
-	s := retry.NewSuspects(retry.DefaultQuarantine)
+func newGuard(l *event.Log, m Mesh) *guard {
+	g := &guard{wallClock: hoist.NewSystemClock(), log: l, mesh: m}
+	s := retry.NewSuspects(retry.DefaultQuarantine).WithFirstQuarantine(firstQuarantine)
 	g.suspects.Store(&s)
 	return g
 }
@@ -43,35 +58,120 @@
 	return d.Sum64() | 1
 }
 
-// contentName returns the name of a fingerprint in logs.
-func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+// partFingerprint returns a hash of the ID of a prompt part; it is never zero.
+func partFingerprint(id uint64) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("part"), id)) | 1
+}
 
-// partNames returns the names in logs of the parts of the prompt that other requests may share.
-func partNames(q Request) []string {
-	var names []string
-	for i := range q.Parts.Len() - 1 {
-		names = append(names, contentName(q.Parts.At(i).Id()))
+// partContents returns the contents of the prompt parts that other requests may share: all but the last one.
+func partContents(w value.Work) []value.Content {
+	var parts []value.Content
+	for i := range w.Parts().Len() - 1 {
+		parts = append(parts, value.Content{}.WithFingerprint(partFingerprint(w.Parts().At(i).Id())).WithDepth(int32(i)))
 	}
-	return names
+	return parts
+}
+
+// wholeContent returns the content of the whole request.
+func wholeContent(w value.Work) value.Content {
+	return value.Content{}.WithFingerprint(w.Fingerprint()).WithDepth(int32(w.Parts().Len()))
+}
+
+// contentsOf returns all contents of a request that may crash servers.
+func contentsOf(w value.Work) []value.Content { return append(partContents(w), wholeContent(w)) }
+
+// contentName returns the name of a content in logs.
+func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
+// partNames returns the names in logs of the prompt parts that other requests may share.
+func partNames(w value.Work) []string {
+	return lo.Map(partContents(w), func(c value.Content, _ int) string { return contentName(c.Fingerprint()) })
 }
 
-// quarantined reports whether the content of the request is quarantined, and for how long. The body is hashed only if
-// some content is suspected.
-func (g *guard) quarantined(r Request) (hoist.Millis, bool) {
-	suspects := g.suspects.Load()
-	if suspects.Len() == 0 {
-		return 0, false
+// admit returns the refusal of a request with quarantined content, or false if the request may be sent to a server.
+func (g *guard) admit(w value.Work) (value.PlaceAnswer, bool) {
+	if g.suspects.Load().Len() == 0 {
+		return value.PlaceAnswer{}, false
 	}
 	now := g.wallClock.Now()
-	q, ok := suspects.Status(fingerprint(r), now).(retry.Quarantined)
-	return q.Until - now, ok
+	var verdict retry.Verdict
+	hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects {
+		s, verdict = s.Admit(contentsOf(w), now)
+		return s
+	})
+	refusal := value.PlaceAnswer{}.WithId(w.Id()).WithVerdict(value.PlaceVerdictQuarantined)
+	switch v := verdict.(type) {
+	case retry.Deny:
+		return refusal.WithAfterMs(int64(v.After)), true
+	case retry.Delay:
+		return refusal.WithAfterMs(int64(v.After)), true
+	case retry.Allow, retry.None, retry.Broadcast:
+	}
+	return value.PlaceAnswer{}, false
+}
+
+// crashed charges the crash of a server to the contents, except those that running requests show to be sound.
+func (g *guard) crashed(charge value.Charge, contents []value.Content, sound map[uint64]bool) {
+	g.update(contents, func(s retry.Suspects, now hoist.Millis) retry.Suspects {
+		s = s.WithCrash(charge, contents, now)
+		for _, c := range contents {
+			if sound[c.Fingerprint()] {
+				s = s.Cleared(c.Fingerprint(), now)
+			}
+		}
+		return s
+	})
 }
 
-// recordCrash attributes the crash of a server to the content and returns the item to publish to other instances.
-func (g *guard) recordCrash(server string, f uint64) (value.Quarantine, bool) {
+// answered clears the contents, which a server has answered without a crash.
+func (g *guard) answered(contents []value.Content) {
+	s := g.suspects.Load()
+	charged := lo.Filter(contents, func(c value.Content, _ int) bool { return s.Charged(c.Fingerprint()) })
+	if len(charged) == 0 {
+		return
+	}
+	g.update(charged, func(s retry.Suspects, now hoist.Millis) retry.Suspects {
+		for _, c := range charged {
+			s = s.Cleared(c.Fingerprint(), now)
+		}
+		return s
+	})
+}
+
+// unanswered ends the trials of the contents, which no server has run.
+func (g *guard) unanswered(contents []value.Content) {
+	s := g.suspects.Load()
+	for _, c := range contents {
+		if s.Convicted(c.Fingerprint()) {
+			hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects { return s.TrialAborted(c.Fingerprint()) })
+		}
+	}
+}
+
+// update changes the suspects and tells the other instances about those of the contents that are quarantined or released
+// by the change.
+func (g *guard) update(contents []value.Content, change func(retry.Suspects, hoist.Millis) retry.Suspects) {
 	now := g.wallClock.Now()
-	s := hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects { return s.WithCrash(server, []uint64{f}, now) })
-	return s.Item(f, now)
+	var old retry.Suspects
+	s := hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects {
+		old = s
+		return change(s, now)
+	})
+	for _, c := range contents {
+		f := c.Fingerprint()
+		before, _ := old.Item(f, now)
+		q, ok := s.Item(f, now)
+		quarantined := s.Convicted(f)
+		if !ok || quarantined == old.Convicted(f) && (!quarantined || q.Crashes() == before.Crashes()) {
+			continue
+		}
+		g.mesh.Submit(member.ItemPublished{Body: q})
+		code := event.ContentQuarantined
+		if !quarantined {
+			code = event.ContentReleased
+		}
+		g.log.Write(code, logrus.Fields{"content": contentName(f), "depth": c.Depth(), "crashes": q.Crashes(), "remaining_ms": q.RemainingMs()})
+	}
 }
 
 // merge merges the crash records of another instance.
@@ -89,33 +189,30 @@
 	}
 }
 
-// attributeCrash checks whether the server has crashed while it ran the request, and if so attributes the crash to
-// the content of the request.
+// attributeCrash checks whether the server has crashed while it ran the request, and if so attributes the crash to the
+// contents.
 //
 // A lost response alone does not prove a crash, because responses are also lost in the network. A server that refuses
 // connections directly afterwards has crashed.
-func (j *job) attributeCrash(s value.BackendServer) {
+func (j *job) attributeCrash(s value.BackendServer, contents []value.Content) {
 	ctx, cancel := context.WithTimeout(j.ctx, crashProbeTimeout.Duration())
 	defer cancel()
-	f := fingerprint(j.request)
-	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(f), "parts": partNames(j.request)}
+	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(j.fingerprint), "parts": partNames(j.work(0))}
 	if !j.Client.Refused(ctx, s.Address()) {
 		j.Log.Write(event.CrashUnconfirmed, fields)
 		return
 	}
-	q, ok := j.guard.recordCrash(s.Id(), f)
-	if !ok {
-		return
-	}
-	fields["crashes"] = q.Crashes()
 	j.Log.Write(event.CrashAttributed, fields)
-	j.Mesh.Submit(member.ItemPublished{Body: q})
+	j.dispatcher.crashed(s, contents)
 }
 
-// probeCrash checks in the background whether the server has crashed.
+// probeCrash checks in the background whether the server has crashed. A server that has sent a whole event has computed
+// the prompt, so its parts cannot have caused the crash.
 func (j *job) probeCrash(s value.BackendServer) {
-	go j.Log.Contain("crash probe", func() { j.attributeCrash(s) })
+	w := j.work(0)
+	contents := contentsOf(w)
+	if j.began {
+		contents = []value.Content{wholeContent(w)}
+	}
+	go j.Log.Contain("crash probe", func() { j.attributeCrash(s, contents) })
 }
-
-// crashProbeTimeout bounds the connection attempt to a server that may have crashed.
-const crashProbeTimeout = 300 * hoist.Millis(1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,7 +65,7 @@
 
 // New returns a relay whose goroutines run until ctx ends.
 func New(ctx context.Context, o Options) *Relay {
-	r := &Relay{Options: o, ctx: ctx, guard: newGuard()}
+	r := &Relay{Options: o, ctx: ctx, guard: newGuard(o.Log, o.Mesh)}
 	r.services.Store(&map[string]*service{})
 	// A random start value keeps the IDs of different instances and process starts distinct at a shard owner.
 	r.nextID.Store(rand.Uint64() << idCounterBits)
@@ -92,11 +92,13 @@
 // job is one request in progress.
 type job struct {
 	*Relay
-	request     Request
-	response    ResponseWriter
-	route       value.Route
-	workspace   value.KeyHolder
-	rank        int32
+	request   Request
+	response  ResponseWriter
+	route     value.Route
+	workspace value.KeyHolder
+	rank      int32
+	// fingerprint is the hash of the whole request.
+	fingerprint uint64
 	dispatcher  *dispatcher
 	service     *service
 	serviceName string
@@ -106,7 +108,7 @@
 	attemptID uint64
 	// charged is set if the next attempt counts against the retry budget.
 	charged bool
-	// began is set once the current attempt has received a whole event.
+	// began is set once the current attempt has received a whole event or the body of a response that is not a stream.
 	began bool
 	// lastEventID is the ID of the last forwarded event; it is valid if hasEventID is set.
 	lastEventID int64
@@ -173,7 +175,7 @@
 // errDeadline is the cause of a context that ended at the deadline of its request.
 var errDeadline = errors.New("deadline of the request has passed")
 
-// admit checks the route, the key and the content of the request and sets its deadline. It returns the local error to
+// admit checks the route and the key of the request and sets its deadline. It returns the local error to
 // send if the request is rejected.
 func (j *job) admit() LocalError {
 	t := j.view.Table
@@ -192,12 +194,7 @@
 			return KeysStale{After: keysStaleRetryAfter}
 		}
 	}
-	if after, ok := j.guard.quarantined(j.request); ok {
-		j.Log.Write(event.RequestQuarantined, logrus.Fields{
-			"request": j.request.ID, "route": j.route.Name(), "workspace": j.workspace.Name(), "content": contentName(fingerprint(j.request)),
-		})
-		return Quarantined{After: after}
-	}
+	j.fingerprint = fingerprint(j.request)
 	j.rank = t.Rank(j.route, j.workspace)
 	j.serviceName = route.SelectService(j.route, j.request.ID)
 	if j.service, ok = (*j.services.Load())[j.serviceName]; !ok {
@@ -260,18 +257,29 @@
 		return
 	}
 	step := j.progress.StepUnplaced(j.errorResponse != nil)
-	if _, ok := step.(Reject); ok && a.Verdict() == value.PlaceVerdictRefused {
-		j.reject(Overloaded{After: hoist.Millis(a.AfterMs())})
-		return
+	after := hoist.Millis(a.AfterMs())
+	quarantined := a.Verdict() == value.PlaceVerdictQuarantined
+	if quarantined {
+		j.Log.Write(event.RequestQuarantined, logrus.Fields{
+			"request": j.request.ID, "route": j.route.Name(), "workspace": j.workspace.Name(),
+			"content": contentName(j.fingerprint), "parts": partNames(j.work(0)), "after_ms": after,
+		})
+	}
+	switch _, rejected := step.(Reject); {
+	case rejected && quarantined:
+		j.reject(Quarantined{After: after})
+	case rejected && a.Verdict() == value.PlaceVerdictRefused:
+		j.reject(Overloaded{After: after})
+	default:
+		j.finish(step)
 	}
-	j.finish(step)
 }
 
 // work returns the description of the request that the dispatcher needs.
 func (j *job) work(id uint64) value.Work {
 	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
 		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.Deadline)).WithAvoid(j.avoid).
-		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged)
+		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint)
 }
 
 // finish carries out the last step of the request.
--- a/relay/service.go
+++ b/relay/service.go
@@ -100,7 +100,7 @@
 func (r *Relay) newDispatcher(shard string) *dispatcher {
 	d := &dispatcher{
 		shard: shard, self: r.Settings.Name(), clock: r.Clock, log: r.Log, mesh: r.Mesh,
-		inbox: make(chan assign.Event, dispatcherInboxSize), waiters: &r.waiters, done: r.ctx.Done(),
+		inbox: make(chan assign.Event, dispatcherInboxSize), waiters: &r.waiters, guard: r.guard, done: r.ctx.Done(),
 	}
 	s := assign.New()
 	d.state.Store(&s)
@@ -170,6 +170,8 @@
 		r.forwardToShard(sender, b.Shard(), b)
 	case value.PlaceNote:
 		r.forwardToShard(sender, b.Shard(), b)
+	case value.PlaceCrash:
+		r.forwardToShard(sender, b.Shard(), b)
 	case value.PlaceHolding:
 		r.forwardToShard(sender, b.Shard(), b)
 	default:
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -158,9 +158,9 @@
 var _ = Describe("suspects", func() {
 	// Guards against a flood of distinct content that grows the table or displaces quarantined content.
 	It("keeps quarantined content when it is full", func() {
-		x := retry.NewSuspects(hoist.Minute).WithCrash("a", []uint64{1}, 0).WithCrash("b", []uint64{1}, 10)
+		x := retry.NewSuspects(hoist.Minute).WithCrash(crashOf("a"), contents(0, 1), 0).WithCrash(crashOf("b"), contents(0, 1), 10)
 		for i := range uint64(5000) {
-			x = x.WithCrash("c", []uint64{100 + i}, 20)
+			x = x.WithCrash(crashOf("c"), contents(0, 100+i), 20)
 		}
 		Expect(x.Len()).To(BeNumerically("<=", 4096))
 		Expect(x.Status(1, 30)).To(Equal(retry.Quarantined{Until: 10 + hoist.Minute}))
--- a/retry/state.go
+++ b/retry/state.go
@@ -8,6 +8,8 @@
 import (
 	"slices"
 
+	"github.com/samber/lo"
+
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/value"
 )
@@ -161,7 +163,8 @@
 // recordCrash attributes the crash to all content that the server was running.
 func (s State) recordCrash(e Crashed, now hoist.Millis) (State, Verdict) {
 	fingerprints := slices.Compact(slices.Sorted(e.Fingerprints.All()))
-	s.suspects = s.suspects.WithCrash(e.Server, fingerprints, now)
+	contents := lo.Map(fingerprints, func(f uint64, _ int) value.Content { return value.Content{}.WithFingerprint(f) })
+	s.suspects = s.suspects.WithCrash(value.Charge{}.WithServer(e.Server), contents, now)
 	return s, s.broadcast(fingerprints, now)
 }
 
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -20,6 +20,9 @@
 	maxClockSkew = hoist.Minute
 	// quarantineCrashes is the number of server crashes after which a fingerprint is quarantined.
 	quarantineCrashes = 2
+	// quarantineGrowth is the factor by which each further crash lengthens a quarantine, so that the trials of content that
+	// crashes every server become rare.
+	quarantineGrowth = 4
 	// trialTimeout is the time after which a trial whose end was not reported no longer blocks other requests.
 	trialTimeout = hoist.Minute
 )
@@ -32,10 +35,12 @@
 // Clean content runs without restrictions.
 type Clean struct{}
 
-// Suspected content was running on a server that crashed; it may run only alone, as a trial.
+// Suspected content was running on a server that crashed, or its quarantine has ended.
 type Suspected struct {
 	// TrialUntil is the time until which a trial in progress blocks other requests; zero means no trial.
 	TrialUntil hoist.Millis
+	// Released is set if the content was quarantined and a trial must decide whether it is quarantined again.
+	Released bool
 }
 
 // Quarantined content is refused.
@@ -53,6 +58,8 @@
 	charges    value.List[value.Charge]
 	clearedAt  hoist.Millis
 	trialUntil hoist.Millis
+	// depth is the depth of the content, see value.Content.
+	depth int32
 }
 
 // Suspects is the immutable table of content that was running on servers that crashed; the zero value is empty.
@@ -62,13 +69,24 @@
 // time of clearing are no longer counted. The tables of different routers can therefore be merged in any order and any
 // number of times.
 type Suspects struct {
-	entries    map[uint64]suspect
+	entries map[uint64]suspect
+	// convicted holds the contents that best explain the crashes, see convict.
+	convicted  map[uint64]bool
 	quarantine hoist.Millis
+	// firstQuarantine is the duration of the first quarantine of a content; zero means quarantine.
+	firstQuarantine hoist.Millis
 }
 
 // NewSuspects returns an empty table with the duration of a quarantine.
 func NewSuspects(quarantine hoist.Millis) Suspects { return Suspects{quarantine: quarantine} }
 
+// WithFirstQuarantine returns a copy in which the first quarantine of a content has the duration and each further crash
+// multiplies it by quarantineGrowth, up to the duration of a quarantine.
+func (x Suspects) WithFirstQuarantine(d hoist.Millis) Suspects {
+	x.firstQuarantine = d
+	return x
+}
+
 // Len returns the number of fingerprints in the table.
 func (x Suspects) Len() int { return len(x.entries) }
 
@@ -78,16 +96,18 @@
 	return x
 }
 
-// WithCrash returns the table after the server has crashed while running the fingerprints.
+// WithCrash returns the table after the server of the charge has crashed while it ran the contents.
 //
 // Every attempt on the server reports the crash. A charge is added only once per crash, because repeated
 // charges would displace an earlier crash from the bounded list.
-func (x Suspects) WithCrash(server string, fingerprints []uint64, now hoist.Millis) Suspects {
-	charge := value.Charge{}.WithServer(server).WithAtMs(int64(now))
+func (x Suspects) WithCrash(charge value.Charge, contents []value.Content, now hoist.Millis) Suspects {
+	charge = charge.WithAtMs(int64(now))
 	entries := x.cloneEntries()
-	for _, f := range fingerprints {
+	for _, c := range contents {
+		f := c.Fingerprint()
 		if e := entries[f]; f != 0 && !attributed(e, charge) {
 			e.charges = mergeCharges(e.charges, value.ListOf(charge))
+			e.depth = max(e.depth, c.Depth())
 			e.trialUntil = 0
 			entries[f] = e
 		}
@@ -111,6 +131,7 @@
 	e := entries[q.Fingerprint()]
 	e.charges = mergeCharges(e.charges, value.ListOf(valid...))
 	e.clearedAt = max(e.clearedAt, cleared)
+	e.depth = max(e.depth, q.Depth())
 	entries[q.Fingerprint()] = e
 	return x.withEntries(entries, now)
 }
@@ -131,7 +152,8 @@
 	})
 }
 
-// Cleared returns the table after a trial has finished, which shows that the content did not cause the crash.
+// Cleared returns the table after a server has run the content without a crash, which shows that the content did not
+// cause the earlier ones.
 func (x Suspects) Cleared(fingerprint uint64, now hoist.Millis) Suspects {
 	return x.withSuspect(fingerprint, func(e suspect) suspect {
 		e.trialUntil = 0
@@ -140,22 +162,46 @@
 	})
 }
 
+// Charged reports whether crashes are attributed to the content that a server has not cleared since.
+func (x Suspects) Charged(fingerprint uint64) bool {
+	e, ok := x.entries[fingerprint]
+	return ok && newestChargeAt(e) > e.clearedAt
+}
+
+// Convicted reports whether the content best explains crashes; it is then quarantined or has to run as a trial.
+func (x Suspects) Convicted(fingerprint uint64) bool { return x.convicted[fingerprint] }
+
 // Status returns how requests with the fingerprint are treated.
 func (x Suspects) Status(fingerprint uint64, now hoist.Millis) Status {
 	e, ok := x.entries[fingerprint]
 	if !ok || x.expired(e, now) {
 		return Clean{}
 	}
-	switch n := x.countCrashes(e); {
-	case n >= quarantineCrashes:
-		return Quarantined{newestChargeAt(e) + x.quarantine}
+	n := x.countCrashes(e)
+	convicted := x.convicted[fingerprint]
+	if until := newestChargeAt(e) + x.quarantineAfter(n); convicted && now < until {
+		return Quarantined{until}
+	}
+	switch {
 	case n == 0:
 		return Clean{}
 	case e.trialUntil > now:
-		return Suspected{TrialUntil: e.trialUntil}
+		return Suspected{TrialUntil: e.trialUntil, Released: convicted}
 	default:
-		return Suspected{}
+		return Suspected{Released: convicted}
+	}
+}
+
+// quarantineAfter returns the duration of the quarantine of a content that has caused n crashes.
+func (x Suspects) quarantineAfter(n int32) hoist.Millis {
+	if x.firstQuarantine == 0 {
+		return x.quarantine
+	}
+	d := x.firstQuarantine
+	for ; n > quarantineCrashes && d < x.quarantine; n-- {
+		d *= quarantineGrowth
 	}
+	return min(d, x.quarantine)
 }
 
 // Item returns the item that tells other routers about the fingerprint.
@@ -165,7 +211,7 @@
 		return value.Quarantine{}, false
 	}
 	q := value.Quarantine{}.WithFingerprint(fingerprint).WithCharges(e.charges).
-		WithClearedMs(int64(e.clearedAt)).WithCrashes(x.countCrashes(e))
+		WithClearedMs(int64(e.clearedAt)).WithCrashes(x.countCrashes(e)).WithDepth(e.depth)
 	if s, ok := x.Status(fingerprint, now).(Quarantined); ok {
 		q = q.WithRemainingMs(int64(s.Until - now))
 	}
@@ -195,37 +241,48 @@
 
 // countCrashes counts the distinct crashes that are neither cleared nor older than the newest by a quarantine or more.
 //
-// Routers notice the crash of a server at slightly different times; charges for one server within
-// sameCrashWindow of a counted charge are the same crash. A cleared charge is not counted, so a charge for the same
+// Routers notice the crash of a server at slightly different times, see sameCrash. A cleared charge is not counted, so a charge for the same
 // crash that is newer than clearedAt counts. The count depends only on the set of charges, clearedAt and the duration
 // of a quarantine, so all routers with the same values agree.
-func (x Suspects) countCrashes(e suspect) int32 {
-	var counted [maxCharges]value.Charge
-	n := 0
+func (x Suspects) countCrashes(e suspect) int32 { return int32(len(x.crashes(e))) }
+
+// crashes returns one charge for each crash that countCrashes counts.
+func (x Suspects) crashes(e suspect) []value.Charge {
+	var counted []value.Charge
 	newest := newestChargeAt(e)
 	for i := e.charges.Len() - 1; i >= 0; i-- {
 		c := e.charges.At(i)
 		at := hoist.Millis(c.AtMs())
 		cleared := e.clearedAt > 0 && at <= e.clearedAt
-		repeated := slices.ContainsFunc(counted[:n], func(x value.Charge) bool {
-			return x.Server() == c.Server() && at-hoist.Millis(x.AtMs()) < sameCrashWindow
-		})
-		if !cleared && !repeated && at+x.quarantine > newest {
-			counted[n] = c
-			n++
+		if !cleared && !contains(counted, c) && at+x.quarantine > newest {
+			counted = append(counted, c)
 		}
 	}
-	return int32(n)
+	return counted
+}
+
+// sameCrash reports whether two charges are about one crash. A process crashes once; if its start time is unknown, two
+// charges for its server are about one crash if they are less than sameCrashWindow apart.
+func sameCrash(a, b value.Charge) bool {
+	switch {
+	case a.Server() != b.Server():
+		return false
+	case a.Born() != 0 && b.Born() != 0:
+		return a.Born() == b.Born()
+	default:
+		distance := hoist.Millis(a.AtMs() - b.AtMs())
+		return max(distance, -distance) < sameCrashWindow
+	}
+}
+
+// contains reports whether the charges contain one about the same crash.
+func contains(charges []value.Charge, c value.Charge) bool {
+	return slices.ContainsFunc(charges, func(x value.Charge) bool { return sameCrash(x, c) })
 }
 
 // attributed reports whether the crash is already attributed to the content.
 func attributed(e suspect, charge value.Charge) bool {
-	for c := range e.charges.All() {
-		if c.Server() == charge.Server() && hoist.Millis(charge.AtMs()-c.AtMs()) < sameCrashWindow {
-			return true
-		}
-	}
-	return false
+	return contains(slices.Collect(e.charges.All()), charge)
 }
 
 // newestChargeAt returns the time of the newest charge, or zero.
@@ -241,14 +298,23 @@
 	return newestChargeAt(e)+x.quarantine <= now
 }
 
-// mergeCharges returns the charges of both lists without duplicates, newest first, at most maxCharges.
+// mergeCharges returns the charges of both lists newest first, at most maxCharges. Of the charges about the crash of one
+// process only the newest is kept, because each router that notices the crash reports it.
 func mergeCharges(a, b value.List[value.Charge]) value.List[value.Charge] {
 	all := slices.AppendSeq(slices.Collect(a.All()), b.All())
 	slices.SortFunc(all, func(a, b value.Charge) int {
-		return cmp.Or(cmp.Compare(b.AtMs(), a.AtMs()), cmp.Compare(a.Server(), b.Server()))
+		return cmp.Or(cmp.Compare(b.AtMs(), a.AtMs()), cmp.Compare(a.Server(), b.Server()), cmp.Compare(a.Born(), b.Born()))
 	})
-	all = slices.Compact(all)
-	return value.ListOf(all[:min(len(all), maxCharges)]...)
+	var merged []value.Charge
+	for _, c := range all {
+		repeated := slices.ContainsFunc(merged, func(x value.Charge) bool {
+			return x == c || x.Server() == c.Server() && x.Born() == c.Born() && c.Born() != 0
+		})
+		if !repeated {
+			merged = append(merged, c)
+		}
+	}
+	return value.ListOf(merged[:min(len(merged), maxCharges)]...)
 }
 
 // withSuspect returns the table with the entry of a fingerprint changed, if there is one.
@@ -260,6 +326,7 @@
 	entries := x.cloneEntries()
 	entries[fingerprint] = f(e)
 	x.entries = entries
+	x.convicted = x.convict()
 	return x
 }
 
@@ -277,6 +344,7 @@
 	maps.DeleteFunc(entries, func(_ uint64, e suspect) bool { return x.expired(e, now) })
 	x.entries = entries
 	if len(entries) <= maxSuspects {
+		x.convicted = x.convict()
 		return x
 	}
 	order := slices.SortedFunc(maps.Keys(entries), func(a, b uint64) int {
@@ -289,5 +357,6 @@
 	for _, f := range order[:len(order)-maxSuspects*7/8] {
 		delete(entries, f)
 	}
+	x.convicted = x.convict()
 	return x
 }
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -16,6 +16,8 @@
 	PlaceVerdictRefused PlaceVerdict = 3
 	// The receiver does not own the shard.
 	PlaceVerdictForeign PlaceVerdict = 4
+	// The request is refused because content of it has crashed servers; it was not run.
+	PlaceVerdictQuarantined PlaceVerdict = 5
 )
 
 // String returns the lower-case name of the value.
@@ -31,6 +33,8 @@
 		return "refused"
 	case PlaceVerdictForeign:
 		return "foreign"
+	case PlaceVerdictQuarantined:
+		return "quarantined"
 	default:
 		return "unspecified"
 	}
@@ -89,6 +93,8 @@
 
 func (FeedHint) isDatagramBody() {}
 
+func (PlaceCrash) isDatagramBody() {}
+
 // Datagram is a message between instances of the forwarding router.
 type Datagram struct {
 	sender string
@@ -333,6 +339,74 @@
 	return p
 }
 
+// PlaceCrash reports to the shard owner that a server crashed while it ran a request.
+type PlaceCrash struct {
+	shard    string
+	server   string
+	born     int64
+	contents List[Content]
+}
+
+// Shard returns the field's value. Shard of the server.
+func (p PlaceCrash) Shard() string { return p.shard }
+
+// WithShard returns a copy with the field replaced.
+func (p PlaceCrash) WithShard(v string) PlaceCrash {
+	p.shard = v
+	return p
+}
+
+// Server returns the field's value. ID of the server.
+func (p PlaceCrash) Server() string { return p.server }
+
+// WithServer returns a copy with the field replaced.
+func (p PlaceCrash) WithServer(v string) PlaceCrash {
+	p.server = v
+	return p
+}
+
+// Born returns the field's value. Start time of the server, as in its entry.
+func (p PlaceCrash) Born() int64 { return p.born }
+
+// WithBorn returns a copy with the field replaced.
+func (p PlaceCrash) WithBorn(v int64) PlaceCrash {
+	p.born = v
+	return p
+}
+
+// Contents returns the field's value. Contents of the request that may have caused the crash.
+func (p PlaceCrash) Contents() List[Content] { return p.contents }
+
+// WithContents returns a copy with the field replaced.
+func (p PlaceCrash) WithContents(v List[Content]) PlaceCrash {
+	p.contents = v
+	return p
+}
+
+// Content identifies a whole request or a prompt part that many requests may share.
+type Content struct {
+	fingerprint uint64
+	depth       int32
+}
+
+// Fingerprint returns the field's value. Hash of the content.
+func (c Content) Fingerprint() uint64 { return c.fingerprint }
+
+// WithFingerprint returns a copy with the field replaced.
+func (c Content) WithFingerprint(v uint64) Content {
+	c.fingerprint = v
+	return c
+}
+
+// Depth returns the field's value. Depth of the content, as in Quarantine.
+func (c Content) Depth() int32 { return c.depth }
+
+// WithDepth returns a copy with the field replaced.
+func (c Content) WithDepth(v int32) Content {
+	c.depth = v
+	return c
+}
+
 // PlaceHolding is the reconciliation list of the sender's requests at the servers of a shard.
 type PlaceHolding struct {
 	shard   string
--- a/value/peer.gen.go
+++ b/value/peer.gen.go
@@ -852,6 +852,7 @@
 type Charge struct {
 	server string
 	atMs   int64
+	born   int64
 }
 
 // Server returns the field's value. Server that crashed, by instance name.
@@ -872,6 +873,15 @@
 	return c
 }
 
+// Born returns the field's value. Start time of the server process that crashed, in Unix milliseconds; zero if unknown. A process crashes once, so all reports with the same server and start time are about one crash.
+func (c Charge) Born() int64 { return c.born }
+
+// WithBorn returns a copy with the field replaced.
+func (c Charge) WithBorn(v int64) Charge {
+	c.born = v
+	return c
+}
+
 // Quarantine lists the crashes that are attributed to a content fingerprint.
 //
 // Two items are merged into the union of their charges and the later clearing time, so their order and repetition do not matter.
@@ -881,6 +891,7 @@
 	remainingMs int64
 	charges     List[Charge]
 	clearedMs   int64
+	depth       int32
 }
 
 // Fingerprint returns the field's value. Fingerprint of the content.
@@ -928,6 +939,15 @@
 	return q
 }
 
+// Depth returns the field's value. Depth of the content: the index of a prompt part, and a greater number for a whole request. Of two contents that explain the same crashes, the deeper one is quarantined, because fewer requests share it.
+func (q Quarantine) Depth() int32 { return q.depth }
+
+// WithDepth returns a copy with the field replaced.
+func (q Quarantine) WithDepth(v int32) Quarantine {
+	q.depth = v
+	return q
+}
+
 // Usage reports the demand of a router for one fleet-wide limit.
 type Usage struct {
 	key        string
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -389,6 +389,7 @@
 	origin       string
 	datacentre   string
 	retry        bool
+	fingerprint  uint64
 }
 
 // Id returns the field's value. ID of the request within this process.
@@ -490,6 +491,15 @@
 	return w
 }
 
+// Fingerprint returns the field's value. Hash of the whole request.
+func (w Work) Fingerprint() uint64 { return w.fingerprint }
+
+// WithFingerprint returns a copy with the field replaced.
+func (w Work) WithFingerprint(v uint64) Work {
+	w.fingerprint = v
+	return w
+}
+
 // ServerLoad is the load report of a backend server in a response.
 type ServerLoad struct {
 	running  int32
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -32,6 +32,8 @@
 		v = v.WithBody(FeedPartValue(m.GetFeedPart()))
 	case Datagram_FeedHint_case:
 		v = v.WithBody(FeedHintValue(m.GetFeedHint()))
+	case Datagram_Crash_case:
+		v = v.WithBody(PlaceCrashValue(m.GetCrash()))
 	}
 	return v
 }
@@ -60,6 +62,8 @@
 		m.SetFeedPart(FeedPartWire(b))
 	case value.FeedHint:
 		m.SetFeedHint(FeedHintWire(b))
+	case value.PlaceCrash:
+		m.SetCrash(PlaceCrashWire(b))
 	}
 	return m
 }
@@ -178,6 +182,54 @@
 	return m
 }
 
+// PlaceCrashValue returns the immutable value of the message.
+func PlaceCrashValue(m *PlaceCrash) value.PlaceCrash {
+	var v value.PlaceCrash
+	v = v.WithShard(m.GetShard())
+	v = v.WithServer(m.GetServer())
+	v = v.WithBorn(m.GetBorn())
+	if s := m.GetContents(); len(s) > 0 {
+		items := make([]value.Content, len(s))
+		for i := range s {
+			items[i] = ContentValue(s[i])
+		}
+		v = v.WithContents(value.ListOf(items...))
+	}
+	return v
+}
+
+// PlaceCrashWire returns the message of the immutable value.
+func PlaceCrashWire(v value.PlaceCrash) *PlaceCrash {
+	m := &PlaceCrash{}
+	m.SetShard(v.Shard())
+	m.SetServer(v.Server())
+	m.SetBorn(v.Born())
+	if v.Contents().Len() > 0 {
+		items := make([]*Content, 0, v.Contents().Len())
+		for x := range v.Contents().All() {
+			items = append(items, ContentWire(x))
+		}
+		m.SetContents(items)
+	}
+	return m
+}
+
+// ContentValue returns the immutable value of the message.
+func ContentValue(m *Content) value.Content {
+	var v value.Content
+	v = v.WithFingerprint(m.GetFingerprint())
+	v = v.WithDepth(m.GetDepth())
+	return v
+}
+
+// ContentWire returns the message of the immutable value.
+func ContentWire(v value.Content) *Content {
+	m := &Content{}
+	m.SetFingerprint(v.Fingerprint())
+	m.SetDepth(v.Depth())
+	return m
+}
+
 // PlaceHoldingValue returns the immutable value of the message.
 func PlaceHoldingValue(m *PlaceHolding) value.PlaceHolding {
 	var v value.PlaceHolding
--- a/wire/peer.value.go
+++ b/wire/peer.value.go
@@ -421,6 +421,7 @@
 	var v value.Charge
 	v = v.WithServer(m.GetServer())
 	v = v.WithAtMs(m.GetAtMs())
+	v = v.WithBorn(m.GetBorn())
 	return v
 }
 
@@ -429,6 +430,7 @@
 	m := &Charge{}
 	m.SetServer(v.Server())
 	m.SetAtMs(v.AtMs())
+	m.SetBorn(v.Born())
 	return m
 }
 
@@ -446,6 +448,7 @@
 		v = v.WithCharges(value.ListOf(items...))
 	}
 	v = v.WithClearedMs(m.GetClearedMs())
+	v = v.WithDepth(m.GetDepth())
 	return v
 }
 
@@ -463,6 +466,7 @@
 		m.SetCharges(items)
 	}
 	m.SetClearedMs(v.ClearedMs())
+	m.SetDepth(v.Depth())
 	return m
 }
 
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -214,6 +214,7 @@
 	v = v.WithOrigin(m.GetOrigin())
 	v = v.WithDatacentre(m.GetDatacentre())
 	v = v.WithRetry(m.GetRetry())
+	v = v.WithFingerprint(m.GetFingerprint())
 	return v
 }
 
@@ -243,6 +244,7 @@
 	m.SetOrigin(v.Origin())
 	m.SetDatacentre(v.Datacentre())
 	m.SetRetry(v.Retry())
+	m.SetFingerprint(v.Fingerprint())
 	return m
 }
 
