retry: Quarantine prompt prefixes in the router with its own interface

Cause: the same as in the forwarding router: crashes were charged to the whole prompt only, so prompts that share a prefix which crashes engines would have crashed one engine after the other. Change: Guard charges a crash to the prefix hashes of the requests that had produced no token, unless running requests show a prefix to be sound, and refuses requests with the longest prefix that explains two crashes. It uses the same table of suspects as the forwarding router; items of prefixes have a depth above 0. Result: the new test of the guard, two prompts that share 2 of 3 prefixes, is refused the third prompt and admits one that shares only the first prefix. Without the change Guard has no notion of a prefix and admits both.

--- a/retry/guard.go
+++ b/retry/guard.go
@@ -9,6 +9,8 @@
 // Guard keeps content that crashes backend servers out of the queues of one dispatcher; it is immutable.
 type Guard struct {
 	state State
+	// prefixes are the prompt prefixes that requests with different content share.
+	prefixes Suspects
 	// trials are the trials that were admitted and have not ended.
 	trials value.List[trial]
 }
@@ -23,7 +25,9 @@
 }
 
 // NewGuard returns a guard without suspected content.
-func NewGuard(l Limits) Guard { return Guard{state: New(l)} }
+func NewGuard(l Limits) Guard {
+	return Guard{state: New(l), prefixes: NewSuspects(DefaultQuarantine).WithFirstQuarantine(firstPrefixQuarantine)}
+}
 
 // Suspects returns the table of suspected and quarantined content.
 func (g Guard) Suspects() Suspects { return g.state.Suspects() }
@@ -34,14 +38,19 @@
 	return g
 }
 
-// Quarantined reports whether the content is quarantined.
+// Quarantined reports whether the content, a whole request or a prompt prefix, is quarantined.
 func (g Guard) Quarantined(fingerprint uint64, now hoist.Millis) bool {
-	_, q := g.state.Suspects().Status(fingerprint, now).(Quarantined)
-	return q
+	_, whole := g.state.Suspects().Status(fingerprint, now).(Quarantined)
+	_, prefix := g.prefixes.Status(fingerprint, now).(Quarantined)
+	return whole || prefix
 }
 
 // Merge returns a copy with an item of another router merged in.
 func (g Guard) Merge(q value.Quarantine, now hoist.Millis) Guard {
+	if q.Depth() > 0 {
+		g.prefixes = g.prefixes.Merged(q, now)
+		return g
+	}
 	g.state, _ = g.state.Decide(QuarantineReceived{q}, now)
 	return g
 }
@@ -53,6 +62,15 @@
 		return g, a, nil
 	}
 	refusal := value.Refusal{}.WithAttempt(a.Attempt()).WithReason(value.RefusalReasonQuarantined)
+	prefixes, verdict := g.prefixes.Admit(prefixContents(a), now)
+	switch v := verdict.(type) {
+	case Deny:
+		return g, nil, refusal.WithRetryMs(int64(v.After))
+	case Delay:
+		return g, nil, refusal.WithRetryMs(int64(v.After))
+	case Allow, None, Broadcast:
+	}
+	g.prefixes = prefixes
 	if a.Hedge() {
 		// Suspected content must not run on two servers at once.
 		if _, clean := g.state.Suspects().Status(a.Fingerprint(), now).(Clean); !clean {
@@ -85,6 +103,10 @@
 	if !ok {
 		return g, items
 	}
+	old := g
+	if e.Kind() == value.EndKindFinished {
+		g = g.withPrefixesAnswered(running.Ask(), now)
+	}
 	var verdict Verdict
 	if running.Ask().Alone() {
 		g = g.withoutTrial(e.Attempt())
@@ -94,6 +116,10 @@
 	if server, ok := table.Server(name); ok && e.Kind() == value.EndKindCrashed {
 		g.state, verdict = g.state.Decide(Crashed{name, server.Fingerprints()}, now)
 		items = appendBroadcast(items, verdict)
+		g = g.withPrefixCrash(server, table, now)
+	}
+	for q := range g.prefixChanges(old, now).All() {
+		items = items.Append(q)
 	}
 	return g, items
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -194,6 +194,28 @@
 		}
 	})
 
+	// Guards against prompts that crash one server after the other because they share a prefix and nothing else, and against
+	// refusing prompts that share only the beginning of it.
+	It("quarantines the prompt prefix that explains the crashes", func() {
+		t := place.Table{}.Sync(value.ListOf(value.Instance{}.WithName("a"), value.Instance{}.WithName("b")), 16)
+		g := retry.NewGuard(retry.Limits{})
+		now := hoist.Minute
+		for n, server := range []string{"a", "b"} {
+			a := ask(uint64(n) + 1).WithPrefixes(value.ListOf(uint64(100), 200, uint64(300+n)))
+			g, _, _ = g.Admit(a, now)
+			t = t.Start(server, place.NewRunningAttempt(a, 1, now))
+			now += 100
+			e := value.End{}.WithAttempt(a.Attempt()).WithKind(value.EndKindCrashed)
+			g, _ = g.Ended(e, t, now)
+			t = t.End(e, now)
+		}
+		_, _, refusal := g.Admit(ask(3).WithPrefixes(value.ListOf[uint64](100, 200, 302)), now)
+		Expect(refusal).NotTo(BeNil())
+		sound := ask(4).WithPrefixes(value.ListOf[uint64](100, 201, 303))
+		_, admitted, _ := g.Admit(sound, now)
+		Expect(admitted).To(Equal(sound.WithAlone(false)))
+	})
+
 	// Guards against hedges of suspected content, which could crash two servers at once.
 	It("refuses hedges of suspected content", func() {
 		t := place.Table{}.Sync(value.ListOf(value.Instance{}.WithName("a")), 16).Start("a", place.NewRunningAttempt(ask(1), 1, 10))
