mesh: Tell a starting instance what is quarantined

What callers saw: after restarts of several instances, requests with quarantined content crashed servers again. Cause: a quarantine was known to a new process only through the gossip item of the instance that had published it. A restart of that instance replaces all of its items, so the quarantine stayed in the memory of the others and reached no one. Class of fault: soft state that only its first author passes on. Change: an instance answers a request for all members, the first thing that a new process sends, with the quarantined content that it knows, whoever found it. Restarts of all processes at once still forget everything; nothing is written down anywhere.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -133,6 +133,7 @@
 	p.follower.OnView = p.relay.Follow
 	m.OnMessage = p.handleMessage
 	m.OnItems = p.relay.Deliver
+	m.Quarantined, m.OnQuarantined = p.relay.Quarantined, p.relay.AddQuarantined
 	m.OnView = p.relay.UpdateMembers
 	p.edge = edge.New(p.relay)
 	p.exportMetrics()
--- a/mesh/membership.go
+++ b/mesh/membership.go
@@ -151,13 +151,13 @@
 		WithPulse(value.Pulse{}.WithIncarnation(self.Incarnation()))
 }
 
-// sendMembers responds to a request for all members.
+// sendMembers responds to a request for all members, and tells a starting instance what is quarantined.
 func (m *Mesh) sendMembers(to netip.AddrPort) {
 	var items []value.Item
 	for i := range m.state.Store().All(gossip.KindMember) {
 		items = append(items, i)
 	}
-	m.send(to, 0, value.MeetAnswer{}.WithGossip(m.buildGossip(items)))
+	m.send(to, 0, value.MeetAnswer{}.WithGossip(m.buildGossip(items)).WithQuarantined(value.ListOf(m.Quarantined()...)))
 }
 
 // Converging reports whether the live instances are unknown because this instance has just started or was paused.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,10 @@
 	// block.
 	OnItems func(items []value.Item)
 	OnView  func(old, v *member.View)
+	// Quarantined returns the quarantined content that a starting instance needs, and OnQuarantined receives it there. Gossip
+	// alone is not enough: the items of an instance end with its process.
+	Quarantined   func() []value.Quarantine
+	OnQuarantined func([]value.Quarantine)
 }
 
 // input is an event for the membership goroutine, with the number and the sender of its exchange.
@@ -204,6 +209,9 @@
 	case value.MeetRequest:
 		m.enqueue(input{member.GossipReceived{Gossip: b.Gossip(), Request: true}, d.Number(), from})
 	case value.MeetAnswer:
+		if b.Quarantined().Len() > 0 {
+			m.OnQuarantined(slices.Collect(b.Quarantined().All()))
+		}
 		m.enqueue(input{member.GossipReceived{Gossip: b.Gossip()}, d.Number(), from})
 	case nil:
 		m.Invalid.Add(1)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -35,15 +35,22 @@
 
 // start starts the instance with the number; the first instance is the only seed.
 func start(ctx context.Context, number, port int, receive func(string, mesh.Body)) *mesh.Mesh {
+	return startQuarantined(ctx, number, port, receive, nil, func([]value.Quarantine) {})
+}
+
+// startQuarantined starts an instance that knows quarantined content and passes what others know to learn.
+func startQuarantined(ctx context.Context, number, port int, receive func(string, mesh.Body), known []value.Quarantine, learn func([]value.Quarantine)) *mesh.Mesh {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	s := value.ForwardSettings{}.WithName(fmt.Sprint("n", number)).WithRegion("r").WithDatacentre(fmt.Sprint("x", number%2)).
 		WithPeers(value.ForwardPeers{}.WithAddress(fmt.Sprintf("127.2.0.%d:%d", number, port)).WithSeeds(value.ListOf("127.2.0.1:1")))
 	m, err := mesh.New(mesh.Options{
 		Clock: hoist.NewBootClock(), Log: event.NewLog(logger), Settings: s,
-		OnMessage: func(sender string, _ netip.AddrPort, b mesh.Body) { receive(sender, b) },
-		OnItems:   func([]value.Item) {},
-		OnView:    func(_, _ *member.View) {},
+		OnMessage:     func(sender string, _ netip.AddrPort, b mesh.Body) { receive(sender, b) },
+		OnItems:       func([]value.Item) {},
+		OnView:        func(_, _ *member.View) {},
+		Quarantined:   func() []value.Quarantine { return known },
+		OnQuarantined: learn,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	go m.Run(ctx)
@@ -107,3 +114,19 @@
 		Eventually(liveCount(first)).WithTimeout(20 * time.Second).Should(Equal(4))
 	})
 })
+
+var _ = Describe("a starting instance", func() {
+	// Guards against a restarted instance that sends quarantined content to servers, because the instance that has published
+	// the quarantine has been restarted too and its gossip items ended with its process.
+	It("learns what is quarantined from an instance that has not published it", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		p := port()
+		ignore := func(string, mesh.Body) {}
+		known := []value.Quarantine{value.Quarantine{}.WithFingerprint(7)}
+		startQuarantined(ctx, 1, p, ignore, known, func([]value.Quarantine) {})
+		learnt := make(chan []value.Quarantine, 100)
+		startQuarantined(ctx, 2, p, ignore, nil, func(list []value.Quarantine) { learnt <- list })
+		Eventually(learnt).WithTimeout(20 * time.Second).Should(Receive(Equal(known)))
+	})
+})
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -21,6 +21,9 @@
 	// firstQuarantine is the duration of the first quarantine of a content. It is short, because the content may be sound if
 	// servers crashed for another reason; its trial costs one more server if it is not.
 	firstQuarantine = 30 * hoist.Second
+	// maxQuarantinesSent bounds the quarantines that an instance sends to one that starts, about 300 bytes each, next to the
+	// list of members in one datagram.
+	maxQuarantinesSent = 32
 	// crashProbeTimeout bounds the connection attempt to a server that may have crashed.
 	crashProbeTimeout = 300 * hoist.Millis(1)
 )
@@ -180,6 +183,19 @@
 	hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects { return s.Merged(q, now) })
 }
 
+// Quarantined returns what an instance that has just started must know of quarantined content, the newest first.
+func (r *Relay) Quarantined() []value.Quarantine {
+	g := r.guard
+	return g.suspects.Load().ConvictedItems(maxQuarantinesSent, g.wallClock.Now())
+}
+
+// AddQuarantined adds quarantined content that another instance knows.
+func (r *Relay) AddQuarantined(list []value.Quarantine) {
+	for _, q := range list {
+		r.guard.merge(q)
+	}
+}
+
 // Deliver handles items that other instances have published.
 func (r *Relay) Deliver(items []value.Item) {
 	for _, i := range items {
--- a/retry/convict.go
+++ b/retry/convict.go
@@ -87,3 +87,17 @@
 	}
 	return x, Allow{}
 }
+
+// ConvictedItems returns the items of at most n contents that best explain crashes, those with the newest crash first.
+func (x Suspects) ConvictedItems(n int, now hoist.Millis) []value.Quarantine {
+	var items []value.Quarantine
+	for f := range x.convicted {
+		if q, ok := x.Item(f, now); ok {
+			items = append(items, q)
+		}
+	}
+	slices.SortFunc(items, func(a, b value.Quarantine) int {
+		return cmp.Or(cmp.Compare(b.Charges().At(0).AtMs(), a.Charges().At(0).AtMs()), cmp.Compare(a.Fingerprint(), b.Fingerprint()))
+	})
+	return items[:min(n, len(items))]
+}
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -145,7 +145,8 @@
 
 // MeetAnswer is the response to a MeetRequest.
 type MeetAnswer struct {
-	gossip Gossip
+	gossip      Gossip
+	quarantined List[Quarantine]
 }
 
 // Gossip returns the field's value. Items and heartbeat of the sender.
@@ -157,6 +158,15 @@
 	return m
 }
 
+// Quarantined returns the field's value. Quarantined content that the sender knows; only responses to a request for all members have it.
+func (m MeetAnswer) Quarantined() List[Quarantine] { return m.quarantined }
+
+// WithQuarantined returns a copy with the field replaced.
+func (m MeetAnswer) WithQuarantined(v List[Quarantine]) MeetAnswer {
+	m.quarantined = v
+	return m
+}
+
 // PlaceAsk is a placement request to the owner of a shard; it is sent again until the owner responds.
 type PlaceAsk struct {
 	shard string
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -92,6 +92,13 @@
 	if m.HasGossip() {
 		v = v.WithGossip(GossipValue(m.GetGossip()))
 	}
+	if s := m.GetQuarantined(); len(s) > 0 {
+		items := make([]value.Quarantine, len(s))
+		for i := range s {
+			items[i] = QuarantineValue(s[i])
+		}
+		v = v.WithQuarantined(value.ListOf(items...))
+	}
 	return v
 }
 
@@ -101,6 +108,13 @@
 	if x := GossipWire(v.Gossip()); proto.Size(x) > 0 {
 		m.SetGossip(x)
 	}
+	if v.Quarantined().Len() > 0 {
+		items := make([]*Quarantine, 0, v.Quarantined().Len())
+		for x := range v.Quarantined().All() {
+			items = append(items, QuarantineWire(x))
+		}
+		m.SetQuarantined(items)
+	}
 	return m
 }
 
