relay: End a stream that no server resumes instead of appending an error response

What callers saw in the test: the text of an error response in the middle of their stream, or a stream that ended early and looked complete. Cause: a stream that broke off was resumed at another server. Change: once a part of a stream was forwarded, only a 2xx response can go on with it, and its first event must have the next ID. Otherwise another server is tried, within the limits of the route, or the response is aborted without its end. Ruled out elsewhere: the router with its own interface takes frames only from responses with status 200 and checks the attempt and number of each.

--- a/cmd/standin/origin/server.go
+++ b/cmd/standin/origin/server.go
@@ -82,6 +82,20 @@
 	fault          Fault
 	faultyRequests int
 	crash          Crash
+	resumeResponse ResumeResponse
+}
+
+// ResumeResponse is the response to requests that resume a stream; a status of zero resumes them.
+type ResumeResponse struct {
+	Status int
+	Body   string
+}
+
+// RespondToResume sets the response to requests that resume a stream.
+func (s *Server) RespondToResume(r ResumeResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumeResponse = r
 }
 
 // Crash describes the requests that crash a server, and how.
@@ -174,6 +188,14 @@
 		w.Header().Set(sealHeader, s.id)
 	}
 	s.crashIfDeadly(w, r)
+	s.mu.Lock()
+	resume := s.resumeResponse
+	s.mu.Unlock()
+	if resume.Status != 0 && r.Header.Get("Last-Event-Id") != "" {
+		w.WriteHeader(resume.Status)
+		_, _ = io.WriteString(w, resume.Body) // A caller that has disconnected needs no response.
+		return
+	}
 	switch f {
 	case Reset:
 		panic(http.ErrAbortHandler)
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -286,6 +286,28 @@
 		Expect(resumed + interrupted).To(BeNumerically(">=", 1))
 	})
 
+	// Guards against the error response of another server in the middle of a stream, and against a stream that ends there as if
+	// it were complete, which occurs when the router forwards what it gets for the rest of the stream.
+	DescribeTable("interrupts a stream that no server resumes", func(status int, body string) {
+		for _, id := range []string{"llm-1", "llm-2"} {
+			f.servers[id].Fail(origin.Truncate, 1)
+			f.servers[id].RespondToResume(origin.ResumeResponse{Status: status, Body: body})
+		}
+		r := f.send("POST", "a.example", "/stream/x", "s", "k1")
+		Expect(f.log.Runs("s")).To(HaveLen(2))
+		Expect(r.interrupted).To(BeTrue())
+		Expect(r.body).NotTo(BeEmpty())
+		Expect(fullStream("s")).To(HavePrefix(r.body))
+	},
+		Entry("not found", 404, "stream is unknown"),
+		Entry("conflict", 409, "id: 5\ndata: error\n\n"),
+		Entry("redirect", 302, ""),
+		Entry("server error", 500, "error"),
+		Entry("long server error", 500, strings.Repeat("error ", 100_000)),
+		Entry("text with status 200", 200, "stream is unknown\n\n"),
+		Entry("nothing with status 200", 200, ""),
+	)
+
 	// Guards against an unrepeatable request that runs twice or is reported as not run although it may have run, which occurs
 	// when a failed attempt of unknown outcome is repeated.
 	It("never repeats an unrepeatable request that may have run", func() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,6 +31,7 @@
 	errNoSeal          = errors.New("response lacks the seal header of the server")
 	errContentEncoding = errors.New("response has a content encoding that was not requested")
 	errEventOrder      = errors.New("event ID is out of order")
+	errResumeRefused   = errors.New("response to the request to resume a stream is not a stream")
 	errStatus          = errors.New("response status implies that the request has not run, but the not-run header is missing")
 )
 
@@ -178,6 +179,10 @@
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return j.unusableOutcome(ctx, errStatus)
 	}
+	if j.progress.Started && resp.Status/100 != 2 {
+		// The caller has received a part of a stream, which must not go on with an error response.
+		return ServerError{}, errResumeRefused
+	}
 	load, loaded := parseLoad(resp.Header.Get(d.Load()))
 	j.serverLoad = load
 	began := func() {
@@ -257,7 +262,7 @@
 			return Completed{}, nil
 		}
 		if err == nil {
-			err = j.checkOrder(e)
+			err = j.checkOrder(e, first)
 		}
 		if err != nil {
 			return j.unusableOutcome(ctx, err)
@@ -285,12 +290,17 @@
 	j.lastEventAt = now
 }
 
-// checkOrder returns an error if the event's ID does not follow the last forwarded one.
-func (j *job) checkOrder(e http1.Event) error {
-	if e.Numbered && j.hasEventID && e.ID != j.lastEventID+1 {
+// checkOrder returns an error if the event's ID does not follow the last forwarded one. The first event after a resumption
+// must have an ID, because it may be an error that the server sends instead of the stream.
+func (j *job) checkOrder(e http1.Event, first bool) error {
+	switch {
+	case !j.hasEventID:
+		return nil
+	case e.Numbered && e.ID != j.lastEventID+1, !e.Numbered && first:
 		return errEventOrder
+	default:
+		return nil
 	}
-	return nil
 }
 
 // hopByHopFields are the header fields that apply to a single connection.
