relay: Do not repeat a stream whose events have no IDs

What callers would have seen: the beginning of a stream twice. Cause: a resumable stream that broke off is sent to another server with the ID of the last event. If no event had an ID, the other server started from the beginning, and its events followed those that had been forwarded. Evidence: the new test gets the same event twice before the change. Change: once an event without an ID was forwarded before any with one, the request is not repeated; the response is aborted. Found while looking at streams that go on at another server.

--- a/cmd/standin/origin/server.go
+++ b/cmd/standin/origin/server.go
@@ -47,8 +47,13 @@
 	Unsealed
 	// Error runs the request and responds with status 500.
 	Error
+	// TruncateUnnumbered closes the connection of a stream after one event without an ID.
+	TruncateUnnumbered
 )
 
+// UnnumberedEvent is the event of a stream with the fault TruncateUnnumbered.
+const UnnumberedEvent = "data: x\n\n"
+
 // Run describes one run of a request by a server.
 type Run struct {
 	ID, Key, Workspace, Deadline, LastEventID string
@@ -203,6 +208,10 @@
 		<-r.Context().Done()
 	case Error:
 		w.WriteHeader(http.StatusInternalServerError)
+	case TruncateUnnumbered:
+		_, _ = io.WriteString(w, UnnumberedEvent) // A caller that has disconnected needs no response.
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
 	default:
 		if strings.HasPrefix(r.URL.Path, StreamPrefix) {
 			s.stream(w, r, id, f)
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -308,6 +308,15 @@
 		Entry("nothing with status 200", 200, ""),
 	)
 
+	// Guards against a stream whose beginning comes twice, because it has no event IDs after which another server could go on.
+	It("interrupts a stream without event IDs", func() {
+		f.servers["llm-1"].Fail(origin.TruncateUnnumbered, 1)
+		f.servers["llm-2"].Fail(origin.TruncateUnnumbered, 1)
+		r := f.send("POST", "a.example", "/stream/x", "u", "k1")
+		Expect(r.interrupted).To(BeTrue())
+		Expect(r.body).To(Equal(origin.UnnumberedEvent))
+	})
+
 	// Guards against an unrepeatable request that runs twice or is reported as not run although it may have run, which occurs
 	// when a failed attempt of unknown outcome is repeated.
 	It("never repeats an unrepeatable request that may have run", func() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -277,6 +277,9 @@
 		j.recordEventTime()
 		if e.Numbered {
 			j.lastEventID, j.hasEventID = e.ID, true
+		} else if !j.hasEventID {
+			// Without an ID to go on after, another server would send the beginning again.
+			j.progress.Repeatable = false
 		}
 	}
 }
