assign, relay: Follow what servers say about themselves in responses

What callers would have seen: requests at a server that had said it was leaving, cut when it ended; requests at a server that had asked for a pause, refused again. Cause: only the entry of a server in the store said whether it takes requests. The response headers Server-Leaving, and Retry-After of a 503, were passed on and not read. Change: an instance records these notices, refuses grants that go against them, and tells the owner of the shard, which grants the server to nobody (leaving) or not to that instance (pause). Notices belong to one process of a server and outlive its entry, since an entry that has lapsed may come back.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -96,6 +96,10 @@
 		return assign.Placed{Run: p, By: l.Text("by")}
 	case "reconcile":
 		return assign.RunsReported{Origin: l.Text("from"), Granted: granted(l), Runs: runs(l)}
+	case "leaving":
+		return assign.LeavingReported{Server: l.Text("server")}
+	case "paused":
+		return assign.Paused{Server: l.Text("server"), Origin: l.Text("from"), Until: hoist.Millis(l.Int("until"))}
 	case "lost":
 		return assign.InstanceLost{Origin: l.Text("from")}
 	case "owner-limits":
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -18,7 +18,7 @@
 			if x.entry.Leaving() || avoided(w, x.entry.Id()) || (x.backoffUntil > now) != (pass == 1) {
 				continue
 			}
-			if !admits(x, w) {
+			if !admits(x, w) || x.pausedUntil(w.Origin()) > now {
 				continue
 			}
 			uncached, recomputed := s.uncached(w, x, now)
--- a/assign/event.go
+++ b/assign/event.go
@@ -57,6 +57,15 @@
 // InstanceLost reports that an instance is lost, and its requests with it.
 type InstanceLost struct{ Origin string }
 
+// LeavingReported reports that a response of a server says that it is leaving, before its entry does.
+type LeavingReported struct{ Server string }
+
+// Paused reports that a server has refused a request of an instance and wants none from it until a time.
+type Paused struct {
+	Server, Origin string
+	Until          hoist.Millis
+}
+
 // RetryLimitsChanged reports new limits of the retries that the state may grant.
 type RetryLimitsChanged struct{ Limits RetryLimits }
 
@@ -71,6 +80,8 @@
 func (Placed) isEvent()             {}
 func (RunsReported) isEvent()       {}
 func (InstanceLost) isEvent()       {}
+func (LeavingReported) isEvent()    {}
+func (Paused) isEvent()             {}
 func (RetryLimitsChanged) isEvent() {}
 func (Ticked) isEvent()             {}
 
--- a/assign/server.go
+++ b/assign/server.go
@@ -35,6 +35,16 @@
 	// assignedTokens is an exponentially decaying sum of the prompt tokens assigned to the server, as of assignedAt.
 	assignedTokens float64
 	assignedAt     hoist.Millis
+	// leaving is set if a response of the server said so.
+	leaving bool
+	// pauses are the instances from which the server wants no requests for a time.
+	pauses value.List[pause]
+}
+
+// pause is the time until which a server wants no requests from an instance.
+type pause struct {
+	origin string
+	until  hoist.Millis
 }
 
 // withRun returns a copy with one more request.
@@ -87,6 +97,35 @@
 	return s
 }
 
+// withLeaving returns a copy that is leaving, whatever its entry says.
+func (s server) withLeaving() server {
+	s.leaving = true
+	s.entry = s.entry.WithLeaving(true)
+	return s
+}
+
+// withPause returns a copy that wants no requests from the instance until the time. Pauses that have ended are removed.
+func (s server) withPause(origin string, until, now hoist.Millis) server {
+	pauses := []pause{{origin, max(until, s.pausedUntil(origin))}}
+	for p := range s.pauses.All() {
+		if p.origin != origin && p.until > now {
+			pauses = append(pauses, p)
+		}
+	}
+	s.pauses = value.ListOf(pauses...)
+	return s
+}
+
+// pausedUntil returns the time until which the server wants no requests from the instance, or zero.
+func (s server) pausedUntil(origin string) hoist.Millis {
+	for p := range s.pauses.All() {
+		if p.origin == origin {
+			return p.until
+		}
+	}
+	return 0
+}
+
 // withFailure returns a copy with one more consecutive failure. From the threshold on, the server is backed off, with
 // a backoff that doubles with each failure.
 func (s server) withFailure(now, initial hoist.Millis, threshold int) server {
--- a/assign/state.go
+++ b/assign/state.go
@@ -139,6 +139,10 @@
 		s = s.withReconciled(e, now)
 	case InstanceLost:
 		s = s.withoutInstance(e.Origin)
+	case LeavingReported:
+		s = s.withServer(e.Server, server.withLeaving)
+	case Paused:
+		s = s.withServer(e.Server, func(x server) server { return x.withPause(e.Origin, e.Until, now) })
 	case RetryLimitsChanged:
 		s = s.withRetryLimits(e.Limits)
 	case Ticked:
@@ -216,6 +220,17 @@
 	return s
 }
 
+// withServer returns a copy in which change is applied to the listed server with the id.
+func (s State) withServer(id string, change func(server) server) State {
+	for i := range s.servers.Len() {
+		if x := s.servers.At(i); x.entry.Id() == id {
+			s.servers = s.servers.With(i, change(x))
+			return s
+		}
+	}
+	return s
+}
+
 // withServers returns a copy with the servers of the list. The state of a server is kept unless the server was
 // restarted or has moved to another address.
 func (s State) withServers(l value.List[value.BackendServer]) State {
@@ -230,6 +245,9 @@
 			x = server{}
 		}
 		x.entry = e
+		if x.leaving {
+			x = x.withLeaving()
+		}
 		servers = append(servers, x)
 	}
 	s.servers = value.ListOf(servers...)
@@ -314,10 +332,10 @@
 	return s, effects
 }
 
-// hasUsableServer reports whether the shard has a server that could take the request, now or later.
+// hasUsableServer reports whether the shard has a server that could take the request, now or before its deadline.
 func (s State) hasUsableServer(w value.Work) bool {
 	for x := range s.servers.All() {
-		if !x.entry.Leaving() && !avoided(w, x.entry.Id()) {
+		if !x.entry.Leaving() && !avoided(w, x.entry.Id()) && x.pausedUntil(w.Origin()) < queueDeadline(w) {
 			return true
 		}
 	}
--- a/cmd/standin/origin/server.go
+++ b/cmd/standin/origin/server.go
@@ -88,6 +88,38 @@
 	faultyRequests int
 	crash          Crash
 	resumeResponse ResumeResponse
+	leaving        bool
+	retryAfter     string
+	arrivals       int
+}
+
+// Leave makes the server say in all responses that it is leaving.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// RefuseFor makes the server refuse every request with the Retry-After header.
+func (s *Server) RefuseFor(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = retryAfter
+}
+
+// Arrivals returns the number of requests that have reached the server.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
+// arrive counts a request and returns whether the server is leaving, and for how long it refuses requests.
+func (s *Server) arrive() (leaving bool, retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals++
+	return s.leaving, s.retryAfter
 }
 
 // ResumeResponse is the response to requests that resume a stream; a status of zero resumes them.
@@ -179,6 +211,14 @@
 		return
 	}
 	f := s.nextFault()
+	leaving, retryAfter := s.arrive()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if retryAfter != "" {
+		w.Header().Set("Retry-After", retryAfter)
+		f = Refuse
+	}
 	if f == Refuse {
 		w.Header().Set(notRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -383,6 +383,33 @@
 		Expect(f.log.Runs("")).To(HaveLen(before))
 	})
 
+	// Guards against requests to a leaving server whose entry still says that it is ready, which occurs when the router ignores
+	// what the server says in its responses.
+	It("sends no requests to a server that has said that it is leaving", func() {
+		f.servers["app-1"].Leave()
+		for i := range 10 {
+			f.send("GET", "a.example", "/read/x", fmt.Sprint("l", i), "k1")
+		}
+		Expect(f.servers["app-1"].Arrivals()).To(BeNumerically("<=", 1))
+		Expect(f.servers["app-2"].Arrivals()).To(BeNumerically(">=", 9))
+	})
+
+	// Guards against requests to a server that has refused one and asked for a pause, which occurs when the router ignores its
+	// Retry-After.
+	It("sends no requests to a server during the pause that it has asked for", func() {
+		f.servers["app-1"].RefuseFor("60")
+		for i := range 10 {
+			Expect(f.send("GET", "a.example", "/read/x", fmt.Sprint("p", i), "k1").status).To(Equal(200))
+		}
+		Expect(f.servers["app-1"].Arrivals()).To(BeNumerically("<=", 1))
+		f.servers["app-2"].RefuseFor("0.3")
+		r := f.send("GET", "a.example", "/read/x", "p", "k1")
+		Expect(r.status).To(Equal(503))
+		f.servers["app-2"].RefuseFor("")
+		Eventually(func() int { return f.send("GET", "a.example", "/read/x", "q", "k1").status }).WithTimeout(5 * time.Second).Should(Equal(200))
+		Expect(f.servers["app-1"].Arrivals()).To(BeNumerically("<=", 1))
+	})
+
 	// Guards against refusing short requests late in a planned stop, and against admitting long ones that the stop would
 	// interrupt, which occurs when a request's deadline isn't compared with the rest of the grace time.
 	It("admits requests late in a stop only if they end within the grace time", func() {
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -100,6 +100,8 @@
 	PanicContained     = Code{704, logrus.ErrorLevel, "handling of a message or request has panicked and was ended", "Report the line with its stack; the process keeps serving."}
 	CrashUnconfirmed   = Code{705, logrus.InfoLevel, "response of a backend server was lost, but no crash is attributed to the request", "None; many of them point to the network or to the server."}
 	ContentReleased    = Code{706, logrus.InfoLevel, "content is no longer quarantined, because a server has answered it or other content explains the crashes", "None."}
+	ServerLeaving      = Code{707, logrus.InfoLevel, "backend server has said in a response that it is leaving; it gets no new requests", "None."}
+	ServerPaused       = Code{708, logrus.InfoLevel, "backend server has refused a request and wants none from this instance for a time", "Check its load if it recurs."}
 	RequestQuarantined = Code{702, logrus.WarnLevel, "request was rejected because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -116,7 +118,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused,
 		InvariantViolated,
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/assign"
 	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/http1"
@@ -21,6 +22,9 @@
 	// maxBufferedBytes is the size up to which a response is buffered completely before it is forwarded, so that the
 	// request can be retried if the response is interrupted.
 	maxBufferedBytes = 256 << 10
+	// maxPause bounds the time for which a server can refuse requests in advance, so that an enormous number does not exclude it
+	// until its end.
+	maxPause = 10 * hoist.Minute
 	// lowestUrgency is the highest rank number that servers accept as an urgency; 0 is the most urgent.
 	lowestUrgency = 9
 	// lastEventHeader is the request header that resumes a stream.
@@ -52,6 +56,7 @@
 	if err != nil {
 		return j.failureOutcome(ctx, err), err
 	}
+	j.readNotices(s, resp)
 	o, err := j.handleResponse(ctx, id, resp)
 	if wasReadCompletely(o) && err == nil {
 		resp.Release()
@@ -61,6 +66,23 @@
 	return o, err
 }
 
+// readNotices records what the response says about the server itself. A response of another server at the same address says
+// nothing about it.
+func (j *job) readNotices(s value.BackendServer, resp *http1.Response) {
+	if resp.Status == int(j.Dialect.MovedStatus()) {
+		return
+	}
+	if text := resp.Header.Get(j.Dialect.Leaving()); text != "" && text != "0" {
+		j.dispatcher.leaving(s)
+	}
+	if resp.Status != http.StatusServiceUnavailable {
+		return
+	}
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		j.dispatcher.paused(s, hoist.MillisOfSeconds(min(seconds, maxPause.Duration().Seconds())))
+	}
+}
+
 // wasReadCompletely reports whether the response behind the outcome was read to its end.
 func wasReadCompletely(o Outcome) bool {
 	switch o.(type) {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -55,6 +55,7 @@
 	owner   atomic.Pointer[string]
 	waiters *sync.Map
 	guard   *guard
+	notices *atomic.Pointer[assign.Notices]
 	done    <-chan struct{}
 	// ownerBackoffUntil is the time until which the owner gets no placement requests.
 	ownerBackoffUntil atomic.Int64
@@ -303,6 +304,31 @@
 	}
 }
 
+// leaving records that a server has said that it is leaving, and tells the owner.
+func (d *dispatcher) leaving(s value.BackendServer) {
+	if !d.notices.Load().Leaving(s) {
+		hoist.Update(d.notices, func(n assign.Notices) assign.Notices { return n.WithLeaving(s) })
+		d.log.Write(event.ServerLeaving, logrus.Fields{"server": s.Id(), "address": s.Address()})
+	}
+	d.post(assign.LeavingReported{Server: s.Id()})
+	if owner, ok := d.remoteOwner(d.clock.Now()); ok {
+		d.notify(owner, value.PlaceNote{}.WithChange(value.PlaceChangeLeaving).WithServer(s.Id()))
+	}
+}
+
+// paused records that a server wants no requests from this instance for a time, and tells the owner.
+func (d *dispatcher) paused(s value.BackendServer, pause hoist.Millis) {
+	now := d.clock.Now()
+	if d.notices.Load().PausedFor(s, now) < pause {
+		hoist.Update(d.notices, func(n assign.Notices) assign.Notices { return n.WithPause(s, now+pause) })
+		d.log.Write(event.ServerPaused, logrus.Fields{"server": s.Id(), "address": s.Address(), "pause_ms": pause})
+	}
+	d.post(assign.Paused{Server: s.Id(), Origin: d.self, Until: now + pause})
+	if owner, ok := d.remoteOwner(now); ok {
+		d.notify(owner, value.PlaceNote{}.WithChange(value.PlaceChangePaused).WithServer(s.Id()).WithPauseMs(int64(pause)))
+	}
+}
+
 // crashed reports that a server crashed while it ran the contents to the guard and to the owner of the shard.
 func (d *dispatcher) crashed(s value.BackendServer, contents []value.Content) {
 	d.chargeCrash(s.Id(), s.Born(), contents)
@@ -340,6 +366,10 @@
 		case value.PlaceChangeEnded:
 			d.clearContents(b.Id(), assign.Result(b.Result()), true)
 			d.post(assign.Finished{ID: b.Id(), Result: assign.Result(b.Result())})
+		case value.PlaceChangeLeaving:
+			d.post(assign.LeavingReported{Server: b.Server()})
+		case value.PlaceChangePaused:
+			d.post(assign.Paused{Server: b.Server(), Origin: sender, Until: now + hoist.Millis(b.PauseMs())})
 		default:
 			d.post(assign.Cancelled{ID: b.Id()})
 			d.post(assign.Finished{ID: b.Id(), Result: assign.ResultCancelled})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,8 @@
 	// waiters maps the IDs of the requests that wait for a server to their response channels.
 	waiters sync.Map
 	guard   *guard
+	// notices is what servers have told this instance about themselves.
+	notices atomic.Pointer[assign.Notices]
 	nextID  atomic.Uint64
 	active  atomic.Int64
 }
@@ -67,6 +69,7 @@
 func New(ctx context.Context, o Options) *Relay {
 	r := &Relay{Options: o, ctx: ctx, guard: newGuard(o.Log, o.Mesh)}
 	r.services.Store(&map[string]*service{})
+	r.notices.Store(&assign.Notices{})
 	// A random start value keeps the IDs of different instances and process starts distinct at a shard owner.
 	r.nextID.Store(rand.Uint64() << idCounterBits)
 	return r
@@ -240,10 +243,18 @@
 	}
 }
 
-// sendGranted sends the request to the granted server, unless this instance knows that the server is leaving or lost.
+// sendGranted sends the request to the granted server, unless this instance knows that the server is leaving or lost, or
+// wants no requests from it now. The owner that has granted the server is told again.
 func (j *job) sendGranted(ctx context.Context, id uint64) Outcome {
 	s, ok := j.dispatcher.state.Load().Server(j.server)
-	if !ok || s.Leaving() {
+	notices := j.notices.Load()
+	pause := notices.PausedFor(s, j.Clock.Now())
+	if notices.Leaving(s) {
+		j.dispatcher.leaving(s)
+	} else if pause > 0 {
+		j.dispatcher.paused(s, pause)
+	}
+	if !ok || s.Leaving() || notices.Leaving(s) || pause > 0 {
 		j.dispatcher.finished(id, assign.ResultCancelled)
 		return Unsent{}
 	}
--- a/relay/service.go
+++ b/relay/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/assign"
 	"chicoryhoist.example/hoist/feed"
 	"chicoryhoist.example/hoist/member"
@@ -49,6 +50,7 @@
 		next[n] = r.withShards(n, next[n], servers[n])
 	}
 	r.services.Store(&next)
+	hoist.Update(&r.notices, func(n assign.Notices) assign.Notices { return n.Retained(v.Servers) })
 	r.Client.Retain(func(a string) bool { return addresses[a] })
 }
 
@@ -100,7 +102,7 @@
 func (r *Relay) newDispatcher(shard string) *dispatcher {
 	d := &dispatcher{
 		shard: shard, self: r.Settings.Name(), clock: r.Clock, log: r.Log, mesh: r.Mesh,
-		inbox: make(chan assign.Event, dispatcherInboxSize), waiters: &r.waiters, guard: r.guard, done: r.ctx.Done(),
+		inbox: make(chan assign.Event, dispatcherInboxSize), waiters: &r.waiters, guard: r.guard, notices: &r.notices, done: r.ctx.Done(),
 	}
 	s := assign.New()
 	d.state.Store(&s)
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -52,6 +52,10 @@
 	PlaceChangeEnded PlaceChange = 2
 	// Its caller disconnected while it was queued.
 	PlaceChangeWithdrawn PlaceChange = 3
+	// A response of the server says that it is leaving.
+	PlaceChangeLeaving PlaceChange = 4
+	// The server has refused a request and wants none from the sender for a time.
+	PlaceChangePaused PlaceChange = 5
 )
 
 // String returns the lower-case name of the value.
@@ -65,6 +69,10 @@
 		return "ended"
 	case PlaceChangeWithdrawn:
 		return "withdrawn"
+	case PlaceChangeLeaving:
+		return "leaving"
+	case PlaceChangePaused:
+		return "paused"
 	default:
 		return "unspecified"
 	}
@@ -285,14 +293,16 @@
 	return p
 }
 
-// PlaceNote reports a change in the state of a request to the shard owner.
+// PlaceNote reports a change in the state of a request, or of a server, to the shard owner.
 type PlaceNote struct {
-	shard  string
-	id     uint64
-	change PlaceChange
-	result int32
-	load   ServerLoad
-	loaded bool
+	shard   string
+	id      uint64
+	change  PlaceChange
+	result  int32
+	load    ServerLoad
+	loaded  bool
+	server  string
+	pauseMs int64
 }
 
 // Shard returns the field's value. Shard of the request.
@@ -349,6 +359,24 @@
 	return p
 }
 
+// Server returns the field's value. ID of the server that is leaving or paused; only these changes have it.
+func (p PlaceNote) Server() string { return p.server }
+
+// WithServer returns a copy with the field replaced.
+func (p PlaceNote) WithServer(v string) PlaceNote {
+	p.server = v
+	return p
+}
+
+// PauseMs returns the field's value. Time for which a paused server wants no requests from the sender, in milliseconds.
+func (p PlaceNote) PauseMs() int64 { return p.pauseMs }
+
+// WithPauseMs returns a copy with the field replaced.
+func (p PlaceNote) WithPauseMs(v int64) PlaceNote {
+	p.pauseMs = v
+	return p
+}
+
 // PlaceCrash reports to the shard owner that a server crashed while it ran a request.
 type PlaceCrash struct {
 	shard    string
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -559,6 +559,7 @@
 	notRun       string
 	load         string
 	movedStatus  int32
+	leaving      string
 }
 
 // RequestId returns the field's value. Request header: ID of the request, forwarded unchanged and echoed in the response.
@@ -677,3 +678,12 @@
 	d.movedStatus = v
 	return d
 }
+
+// Leaving returns the field's value. Response header: the server is leaving and wants no new requests.
+func (d Dialect) Leaving() string { return d.leaving }
+
+// WithLeaving returns a copy with the field replaced.
+func (d Dialect) WithLeaving(v string) Dialect {
+	d.leaving = v
+	return d
+}
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -179,6 +179,8 @@
 		v = v.WithLoad(ServerLoadValue(m.GetLoad()))
 	}
 	v = v.WithLoaded(m.GetLoaded())
+	v = v.WithServer(m.GetServer())
+	v = v.WithPauseMs(m.GetPauseMs())
 	return v
 }
 
@@ -193,6 +195,8 @@
 		m.SetLoad(x)
 	}
 	m.SetLoaded(v.Loaded())
+	m.SetServer(v.Server())
+	m.SetPauseMs(v.PauseMs())
 	return m
 }
 
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -290,6 +290,7 @@
 	v = v.WithNotRun(m.GetNotRun())
 	v = v.WithLoad(m.GetLoad())
 	v = v.WithMovedStatus(m.GetMovedStatus())
+	v = v.WithLeaving(m.GetLeaving())
 	return v
 }
 
@@ -315,5 +316,6 @@
 	m.SetNotRun(v.NotRun())
 	m.SetLoad(v.Load())
 	m.SetMovedStatus(v.MovedStatus())
+	m.SetLeaving(v.Leaving())
 	return m
 }
