--- a/cmd/standin/origin/server.go
+++ b/cmd/standin/origin/server.go
@@ -19,6 +19,7 @@
 	requestIDHeader        = "Chicoryhoist-Request-Id"
 	sealHeader             = "Chicoryhoist-Response-Seal"
 	notRunHeader           = "Chicoryhoist-Not-Executed"
+	lastEventHeader        = "Last-Event-Id"
 	expectedInstanceHeader = "Chicoryhoist-Expect-Instance"
 )
 
@@ -86,88 +87,10 @@
 	mu             sync.Mutex
 	fault          Fault
 	faultyRequests int
-	crash          Crash
-	resumeResponse ResumeResponse
-	leaving        bool
-	retryAfter     string
+	behaviour      Behaviour
 	arrivals       int
 }
 
-// Leave makes the server say in all responses that it is leaving.
-func (s *Server) Leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = true
-}
-
-// RefuseFor makes the server refuse every request with the Retry-After header.
-func (s *Server) RefuseFor(retryAfter string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.retryAfter = retryAfter
-}
-
-// Arrivals returns the number of requests that have reached the server.
-func (s *Server) Arrivals() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.arrivals
-}
-
-// arrive counts a request and returns whether the server is leaving, and for how long it refuses requests.
-func (s *Server) arrive() (leaving bool, retryAfter string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.arrivals++
-	return s.leaving, s.retryAfter
-}
-
-// ResumeResponse is the response to requests that resume a stream; a status of zero resumes them.
-type ResumeResponse struct {
-	Status int
-	Body   string
-}
-
-// RespondToResume sets the response to requests that resume a stream.
-func (s *Server) RespondToResume(r ResumeResponse) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.resumeResponse = r
-}
-
-// Crash describes the requests that crash a server, and how.
-type Crash struct {
-	// Deadly reports whether the request crashes the server that runs it; nil means that none does.
-	Deadly func(*http.Request) bool
-	// AfterHeader is set if the server sends the response header before it crashes.
-	AfterHeader bool
-	// Stop ends the process of the server.
-	Stop func()
-}
-
-// CrashOn makes the server crash as described.
-func (s *Server) CrashOn(c Crash) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.crash = c
-}
-
-// crashIfDeadly crashes the server if the request is deadly; it does not return then.
-func (s *Server) crashIfDeadly(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	c := s.crash
-	s.mu.Unlock()
-	if c.Deadly == nil || !c.Deadly(r) {
-		return
-	}
-	if c.AfterHeader {
-		w.WriteHeader(http.StatusOK)
-		_ = http.NewResponseController(w).Flush() // A caller that has disconnected needs no response.
-	}
-	c.Stop()
-	panic(http.ErrAbortHandler)
-}
-
 // New returns a server that waits for the delay before each response body and after each event of a stream.
 func New(id string, l *Log, delay time.Duration) *Server {
 	return &Server{id: id, log: l, delay: delay}
@@ -210,13 +133,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	f := s.nextFault()
-	leaving, retryAfter := s.arrive()
-	if leaving {
+	f, b := s.nextFault(), s.arrive()
+	if b.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
-	if retryAfter != "" {
-		w.Header().Set("Retry-After", retryAfter)
+	if b.RetryAfter != "" {
+		w.Header().Set("Retry-After", b.RetryAfter)
 		f = Refuse
 	}
 	if f == Refuse {
@@ -226,21 +148,21 @@
 	}
 	s.log.mu.Lock()
 	s.log.runs = append(s.log.runs, Run{
-		id, r.Header.Get("Chicoryhoist-Key"), r.Header.Get("Chicoryhoist-Tenant"), r.Header.Get("Chicoryhoist-Deadline-Ms"), r.Header.Get("Last-Event-Id"),
+		id, r.Header.Get("Chicoryhoist-Key"), r.Header.Get("Chicoryhoist-Tenant"), r.Header.Get("Chicoryhoist-Deadline-Ms"), r.Header.Get(lastEventHeader),
 	})
 	s.log.mu.Unlock()
 	if f != Unsealed {
 		w.Header().Set(sealHeader, s.id)
 	}
-	s.crashIfDeadly(w, r)
-	s.mu.Lock()
-	resume := s.resumeResponse
-	s.mu.Unlock()
-	if resume.Status != 0 && r.Header.Get("Last-Event-Id") != "" {
-		w.WriteHeader(resume.Status)
-		_, _ = io.WriteString(w, resume.Body) // A caller that has disconnected needs no response.
+	b.Crash.crashIfDeadly(w, r)
+	if b.Resume.respond(w, r) {
 		return
 	}
+	s.serve(w, r, id, f)
+}
+
+// serve runs the request, subject to the fault.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, id string, f Fault) {
 	switch f {
 	case Reset:
 		panic(http.ErrAbortHandler)
@@ -265,7 +187,7 @@
 // stream sends the events that follow the last one that the caller has received.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, f Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	last, err := strconv.Atoi(r.Header.Get(lastEventHeader))
 	if err != nil {
 		last = 0
 	}
--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -41,7 +41,7 @@
 	// crashOn makes the servers crash after the response header of the requests that deadly selects, or before it.
 	crashOn := func(afterHeader bool, deadly func(*http.Request) bool) {
 		for id, s := range f.servers {
-			s.CrashOn(origin.Crash{Deadly: deadly, AfterHeader: afterHeader, Stop: f.hosts[id].crash})
+			s.Behave(origin.Behaviour{Crash: origin.Crash{Deadly: deadly, AfterHeader: afterHeader, Stop: f.hosts[id].crash}})
 		}
 	}
 	// sendAll sends the requests one after the other, once the servers have restarted, and returns the last result. The
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -291,7 +291,7 @@
 	DescribeTable("interrupts a stream that no server resumes", func(status int, body string) {
 		for _, id := range []string{"llm-1", "llm-2"} {
 			f.servers[id].Fail(origin.Truncate, 1)
-			f.servers[id].RespondToResume(origin.ResumeResponse{Status: status, Body: body})
+			f.servers[id].Behave(origin.Behaviour{Resume: origin.ResumeResponse{Status: status, Body: body}})
 		}
 		r := f.send("POST", "a.example", "/stream/x", "s", "k1")
 		Expect(f.log.Runs("s")).To(HaveLen(2))
@@ -386,7 +386,7 @@
 	// Guards against requests to a leaving server whose entry still says that it is ready, which occurs when the router ignores
 	// what the server says in its responses.
 	It("sends no requests to a server that has said that it is leaving", func() {
-		f.servers["app-1"].Leave()
+		f.servers["app-1"].Behave(origin.Behaviour{Leaving: true})
 		for i := range 10 {
 			f.send("GET", "a.example", "/read/x", fmt.Sprint("l", i), "k1")
 		}
@@ -397,15 +397,15 @@
 	// Guards against requests to a server that has refused one and asked for a pause, which occurs when the router ignores its
 	// Retry-After.
 	It("sends no requests to a server during the pause that it has asked for", func() {
-		f.servers["app-1"].RefuseFor("60")
+		f.servers["app-1"].Behave(origin.Behaviour{RetryAfter: "60"})
 		for i := range 10 {
 			Expect(f.send("GET", "a.example", "/read/x", fmt.Sprint("p", i), "k1").status).To(Equal(200))
 		}
 		Expect(f.servers["app-1"].Arrivals()).To(BeNumerically("<=", 1))
-		f.servers["app-2"].RefuseFor("0.3")
+		f.servers["app-2"].Behave(origin.Behaviour{RetryAfter: "0.3"})
 		r := f.send("GET", "a.example", "/read/x", "p", "k1")
 		Expect(r.status).To(Equal(503))
-		f.servers["app-2"].RefuseFor("")
+		f.servers["app-2"].Behave(origin.Behaviour{})
 		Eventually(func() int { return f.send("GET", "a.example", "/read/x", "q", "k1").status }).WithTimeout(5 * time.Second).Should(Equal(200))
 		Expect(f.servers["app-1"].Arrivals()).To(BeNumerically("<=", 1))
 	})
