retry, router: Announce quarantined content that another router has found

Change: a router that refuses quarantined content publishes an item of its own, at most once in two minutes for each content, so that the knowledge spreads where requests with the content come. Result: the new test of the guard, which merges an item of another router and expects an announcement, did not compile before the change, as nothing announced what others had found.

--- a/retry/guard.go
+++ b/retry/guard.go
@@ -11,6 +11,8 @@
 	state State
 	// prefixes are the prompt prefixes that requests with different content share.
 	prefixes Suspects
+	// announced are the times at which this router has announced quarantined content, see Announce.
+	announced map[uint64]hoist.Millis
 	// trials are the trials that were admitted and have not ended.
 	trials value.List[trial]
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -216,6 +216,22 @@
 		Expect(admitted).To(Equal(sound.WithAlone(false)))
 	})
 
+	// Guards against a quarantine that routers which start later do not learn of, because the router that has found it was
+	// restarted and its gossip items ended with its process.
+	It("announces quarantined content that another router has found", func() {
+		charge := value.Charge{}.WithServer("a").WithAtMs(int64(hoist.Minute))
+		found := value.Quarantine{}.WithFingerprint(7).WithCharges(value.ListOf(charge, charge.WithServer("b")))
+		now := hoist.Minute + hoist.Second
+		g := retry.NewGuard(retry.Limits{}).Merge(found, now)
+		g, items := g.Announce([]uint64{6, 7}, now)
+		Expect(items).To(HaveLen(1))
+		Expect(items[0].Fingerprint()).To(Equal(uint64(7)))
+		g, items = g.Announce([]uint64{7}, now+hoist.Second)
+		Expect(items).To(BeEmpty())
+		_, items = g.Announce([]uint64{7}, now+2*hoist.Minute)
+		Expect(items).To(HaveLen(1))
+	})
+
 	// Guards against hedges of suspected content, which could crash two servers at once.
 	It("refuses hedges of suspected content", func() {
 		t := place.Table{}.Sync(value.ListOf(value.Instance{}.WithName("a")), 16).Start("a", place.NewRunningAttempt(ask(1), 1, 10))
--- a/router/front.go
+++ b/router/front.go
@@ -45,7 +45,7 @@
 }
 
 // Quarantined implements front.Router.
-func (r *Router) Quarantined(fingerprint uint64) bool { return r.guard.quarantined(fingerprint) }
+func (r *Router) Quarantined(fingerprint uint64) bool { return r.guard.refuses(fingerprint) }
 
 // Window implements front.Router.
 func (r *Router) Window() uint64 { return r.calls.window() }
--- a/router/guard.go
+++ b/router/guard.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +38,27 @@
 	return g.state.Load().Quarantined(fingerprint, g.clock.Now())
 }
 
+// refuses reports whether a request is refused because its content is quarantined, and announces it then.
+func (g *guard) refuses(fingerprint uint64) bool {
+	if !g.quarantined(fingerprint) {
+		return false
+	}
+	g.announce([]uint64{fingerprint})
+	return true
+}
+
+// announce publishes the items of the quarantined contents that this router has not published lately.
+func (g *guard) announce(fingerprints []uint64) {
+	var items []value.Quarantine
+	hoist.Update(&g.state, func(s retry.Guard) retry.Guard {
+		s, items = s.Announce(fingerprints, g.clock.Now())
+		return s
+	})
+	for _, q := range items {
+		g.fleet.post(member.ItemPublished{Body: q})
+	}
+}
+
 // merge merges an item that another router has published.
 func (g *guard) merge(q value.Quarantine) {
 	hoist.Update(&g.state, func(s retry.Guard) retry.Guard { return s.Merge(q, g.clock.Now()) })
@@ -48,6 +70,9 @@
 		s, ask, refusal = s.Admit(a, g.clock.Now())
 		return s
 	})
+	if refusal != nil {
+		g.announce(append(slices.Collect(a.Prefixes().All()), a.Fingerprint()))
+	}
 	return ask, refusal
 }
 
