retry: Count crashes of one moment once for shared content

What callers saw: sound requests refused with 503 'isolated' after several servers had failed at the same time. Cause: each failed server counted as a crash. Change: for content that many requests share, crashes less than 100 ms apart count once.

--- a/relay/guard.go
+++ b/relay/guard.go
@@ -44,7 +44,7 @@
 // newGuard returns a guard without suspected content.
 func newGuard(l *event.Log, m Mesh) *guard {
 	g := &guard{wallClock: hoist.NewSystemClock(), log: l, mesh: m}
-	s := retry.NewSuspects(retry.DefaultQuarantine).WithFirstQuarantine(firstQuarantine)
+	s := retry.NewSuspects(retry.DefaultQuarantine).WithSharedContent(firstQuarantine)
 	g.suspects.Store(&s)
 	return g
 }
--- a/retry/convict.go
+++ b/retry/convict.go
@@ -13,6 +13,8 @@
 	fingerprint uint64
 	depth       int32
 	crashes     []value.Charge
+	// count is the number of the crashes as countMoments counts them.
+	count int32
 }
 
 // convict returns the contents that explain the crashes best.
@@ -24,7 +26,7 @@
 	candidates := x.candidates()
 	var convicted map[uint64]bool
 	for {
-		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return len(c.crashes) < quarantineCrashes })
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.count < quarantineCrashes })
 		if len(candidates) == 0 {
 			return convicted
 		}
@@ -40,7 +42,8 @@
 			}
 		}
 		for i, c := range candidates {
-			candidates[i].crashes = slices.DeleteFunc(c.crashes, func(y value.Charge) bool { return contains(explained, y) })
+			left := slices.DeleteFunc(c.crashes, func(y value.Charge) bool { return contains(explained, y) })
+			candidates[i].crashes, candidates[i].count = left, x.countMoments(left)
 		}
 	}
 }
@@ -52,8 +55,9 @@
 		if e.charges.Len() < quarantineCrashes {
 			continue
 		}
-		if crashes := x.crashes(e); len(crashes) >= quarantineCrashes {
-			candidates = append(candidates, candidate{f, e.depth, crashes})
+		crashes := x.crashes(e)
+		if n := x.countMoments(crashes); n >= quarantineCrashes {
+			candidates = append(candidates, candidate{f, e.depth, crashes, n})
 		}
 	}
 	return candidates
@@ -61,7 +65,7 @@
 
 // compareCandidates orders contents by how well they explain crashes.
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), cmp.Compare(a.depth, b.depth))
+	return cmp.Or(cmp.Compare(a.count, b.count), cmp.Compare(a.depth, b.depth))
 }
 
 // Admit decides whether a request with the contents may be sent to a server. Content whose quarantine has ended is sent
--- a/retry/convict_test.go
+++ b/retry/convict_test.go
@@ -57,7 +57,7 @@
 // Guards against requests that crash one server after the other because they share only a prompt part, and against the
 // quarantine of sound content that was running beside them.
 var _ = DescribeTable("contents", func(c golden.Case) {
-	x := retry.NewSuspects(10 * hoist.Minute).WithFirstQuarantine(30 * hoist.Second)
+	x := retry.NewSuspects(10 * hoist.Minute).WithSharedContent(30 * hoist.Second)
 	Expect(golden.RunScript(c.Input, func(l golden.Line) string {
 		now := hoist.Millis(l.Int("at"))
 		switch l.Verb {
--- a/retry/guard.go
+++ b/retry/guard.go
@@ -28,7 +28,7 @@
 
 // NewGuard returns a guard without suspected content.
 func NewGuard(l Limits) Guard {
-	return Guard{state: New(l), prefixes: NewSuspects(DefaultQuarantine).WithFirstQuarantine(firstPrefixQuarantine)}
+	return Guard{state: New(l), prefixes: NewSuspects(DefaultQuarantine).WithSharedContent(firstPrefixQuarantine)}
 }
 
 // Suspects returns the table of suspected and quarantined content.
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -16,6 +16,9 @@
 	maxCharges = 8
 	// sameCrashWindow is the time within which all routers notice a crash of a server; no engine restarts and crashes again within it.
 	sameCrashWindow = 3 * hoist.Second
+	// sameMoment is the distance within which crashes of several servers count once, see WithSharedContent; it exceeds the
+	// time in which all instances notice one failure.
+	sameMoment = 100 * hoist.Millis(1)
 	// maxClockSkew is how far the clock of another router may be ahead.
 	maxClockSkew = hoist.Minute
 	// quarantineCrashes is the number of server crashes after which a fingerprint is quarantined.
@@ -73,17 +76,20 @@
 	// convicted holds the contents that best explain the crashes, see convict.
 	convicted  map[uint64]bool
 	quarantine hoist.Millis
-	// firstQuarantine is the duration of the first quarantine of a content; zero means quarantine.
+	// firstQuarantine is the duration of the first quarantine of a content, see WithSharedContent; zero means quarantine.
 	firstQuarantine hoist.Millis
 }
 
 // NewSuspects returns an empty table with the duration of a quarantine.
 func NewSuspects(quarantine hoist.Millis) Suspects { return Suspects{quarantine: quarantine} }
 
-// WithFirstQuarantine returns a copy in which the first quarantine of a content has the duration and each further crash
-// multiplies it by quarantineGrowth, up to the duration of a quarantine.
-func (x Suspects) WithFirstQuarantine(d hoist.Millis) Suspects {
-	x.firstQuarantine = d
+// WithSharedContent returns a copy for content that many requests share, so that a quarantine in error is costly.
+//
+// The first quarantine of a content has the duration and each further crash multiplies it by quarantineGrowth, up to the
+// duration of a quarantine. Crashes less than sameMoment apart count once, because servers that crash together usually have
+// an outside cause in common.
+func (x Suspects) WithSharedContent(firstQuarantine hoist.Millis) Suspects {
+	x.firstQuarantine = firstQuarantine
 	return x
 }
 
@@ -244,7 +250,23 @@
 // Routers notice the crash of a server at slightly different times, see sameCrash. A cleared charge is not counted, so a charge for the same
 // crash that is newer than clearedAt counts. The count depends only on the set of charges, clearedAt and the duration
 // of a quarantine, so all routers with the same values agree.
-func (x Suspects) countCrashes(e suspect) int32 { return int32(len(x.crashes(e))) }
+func (x Suspects) countCrashes(e suspect) int32 { return x.countMoments(x.crashes(e)) }
+
+// countMoments returns the number of the crashes, of which those of one moment count once where the content is shared.
+func (x Suspects) countMoments(crashes []value.Charge) int32 {
+	if x.firstQuarantine == 0 {
+		return int32(len(crashes))
+	}
+	n := int32(0)
+	var last int64
+	for _, c := range slices.SortedFunc(slices.Values(crashes), func(a, b value.Charge) int { return cmp.Compare(a.AtMs(), b.AtMs()) }) {
+		if n == 0 || c.AtMs()-last >= int64(sameMoment) {
+			n++
+			last = c.AtMs()
+		}
+	}
+	return n
+}
 
 // crashes returns one charge for each crash that countCrashes counts.
 func (x Suspects) crashes(e suspect) []value.Charge {
