cmd/standin: Crash servers by content in the soak of processes

Cause: no soak played content that crashes servers, so neither matter of the issue could show there. Change: a caller for each router sends deadly content beside the others, with even seeds one request again and again, with odd seeds requests that share a prompt part. Servers, and the proxies before them, refuse connections for 0.8 s after a crash and start anew with another start time. checkCrashes allows two crashes for each router and each restart of one.

--- a/cmd/standin/chaos/caller.go
+++ b/cmd/standin/chaos/caller.go
@@ -86,8 +86,9 @@
 	}
 }
 
-// send sends one request; it returns the status, the body and whether the response was interrupted or missing.
-func send(ctx context.Context, t *http.Transport, method, url, host, id, key string) (int, string, bool) {
+// send sends one request; header lists the names and values of further headers alternately. It returns the status, the body
+// and whether the response was interrupted or missing.
+func send(ctx context.Context, t *http.Transport, method, url, host, id, key string, header ...string) (int, string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	var content io.Reader
@@ -104,6 +105,9 @@
 	q.Header.Set("Chicoryhoist-Request-Id", id)
 	q.Header.Set("Chicoryhoist-Key", key)
 	q.Header.Set("Chicoryhoist-Deadline-Ms", "4000")
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
 	resp, err := t.RoundTrip(q)
 	if err != nil {
 		return 0, "", true
--- a/cmd/standin/chaos/chaos.go
+++ b/cmd/standin/chaos/chaos.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -50,9 +49,9 @@
 
 // Report holds the counts and the violations of one run.
 type Report struct {
-	Requests, Served, Refused, Faults atomic.Int64
-	mu                                sync.Mutex
-	violations                        []string
+	Requests, Served, Refused, Faults, Crashes atomic.Int64
+	mu                                         sync.Mutex
+	violations                                 []string
 }
 
 // Violations returns the violated guarantees.
@@ -77,6 +76,7 @@
 	store        *kvsrv.Store
 	log          *origin.Log
 	servers      map[string]*origin.Server
+	hosts        map[string]*origin.Host
 	addresses    map[string]string
 	storeAddress string
 	routers      []*process
@@ -87,7 +87,9 @@
 	recovered atomic.Bool
 	// revokedAt is the time at which the key was revoked in Unix milliseconds, or zero.
 	revokedAt atomic.Int64
-	version   int
+	// restarts counts the restarts of routers.
+	restarts atomic.Int64
+	version  int
 }
 
 // process is one router process, which faults stop and restart.
@@ -114,7 +116,7 @@
 	}
 	r := &run{
 		Options: o, Report: &Report{}, dir: dir, store: kvsrv.New(), log: &origin.Log{},
-		servers: map[string]*origin.Server{}, addresses: map[string]string{},
+		servers: map[string]*origin.Server{}, hosts: map[string]*origin.Host{}, addresses: map[string]string{},
 	}
 	stop, err := r.startEnvironment()
 	defer stop()
@@ -129,6 +131,7 @@
 	}
 	r.runCallersAndFaults(ctx)
 	r.checkRuns()
+	r.checkCrashes()
 	if len(r.Violations()) == 0 {
 		return r.Report, os.RemoveAll(dir)
 	}
@@ -145,48 +148,61 @@
 			_ = c.Close() // The run has ended.
 		}
 	}
-	serve := func(h http.Handler) (string, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", eris.Wrap(err, "listen")
+	serve := func(h http.Handler) (*origin.Host, error) {
+		host, err := origin.StartHost(h)
+		if err == nil {
+			closers = append(closers, host)
 		}
-		s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-		closers = append(closers, s)
-		go func() { _ = s.Serve(l) }() // Ends with Close.
-		return l.Addr().String(), nil
+		return host, err
 	}
 	var err error
 	for _, id := range []string{"llm-1", "llm-2", "llm-3", "app-1", "app-2", "app-3"} {
 		s := origin.New(id, r.log, 5*time.Millisecond)
 		r.servers[id] = s
-		if r.addresses[id], err = serve(s); err != nil {
+		if r.hosts[id], err = serve(s); err != nil {
 			return stop, err
 		}
+		crash, started := r.hosts[id].Crash, func() error { return nil }
+		r.addresses[id] = r.hosts[id].Address()
 		if !faultFree(id) {
-			if r.addresses[id], err = r.addProxy(r.addresses[id]); err != nil {
+			p, err := r.addProxy(r.addresses[id])
+			if err != nil {
 				return stop, err
 			}
+			r.addresses[id], started = p.Address(), p.Restart
+			crash = func() {
+				p.Stop()
+				r.hosts[id].Crash()
+			}
+		}
+		r.hosts[id].OnStart = func() error {
+			r.putServer(id, "ready")
+			return started()
 		}
+		s.Behave(origin.Behaviour{Crash: origin.Crash{Deadly: isDeadly, AfterHeader: r.Seed%3 > 0, Stop: crash}})
 		r.putServer(id, "ready")
 	}
 	r.publishRoutes(`"k1","k2"`)
-	r.storeAddress, err = serve(r.store.Handler())
-	return stop, err
+	store, err := serve(r.store.Handler())
+	if err != nil {
+		return stop, err
+	}
+	r.storeAddress = store.Address()
+	return stop, nil
 }
 
-// addProxy returns the address of a new proxy in front of the target.
-func (r *run) addProxy(target string) (string, error) {
+// addProxy starts a proxy in front of the target.
+func (r *run) addProxy(target string) (*proxy.Proxy, error) {
 	p, err := proxy.New(target)
-	if err != nil {
-		return "", err
+	if err == nil {
+		r.proxies = append(r.proxies, p)
 	}
-	r.proxies = append(r.proxies, p)
-	return p.Address(), nil
+	return p, err
 }
 
 // putServer writes the entry of a server to the store.
 func (r *run) putServer(id, state string) {
-	r.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"x","slots":16,"state":%q}`, id[:3], r.addresses[id], state))
+	r.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"x","slots":16,"state":%q,"born":%d}`, id[:3], r.addresses[id], state, r.hosts[id].StartedAt().UnixMilli()))
 }
 
 // routesFormat is the format of the configuration; its arguments are the version and the API keys.
@@ -249,8 +265,8 @@
 	if err != nil {
 		return err
 	}
-	p := &process{url: "http://" + callers, settingsFile: filepath.Join(r.dir, fmt.Sprintf("n%d.toml", i+1))}
-	text := fmt.Sprintf(settingsFormat, i+1, i%datacentres, callersPort, readyPort, metricsPort, store, shutdownGrace.Seconds(), revocationBound.Milliseconds(), r.network())
+	p := &process{url: "http://" + callers.Address(), settingsFile: filepath.Join(r.dir, fmt.Sprintf("n%d.toml", i+1))}
+	text := fmt.Sprintf(settingsFormat, i+1, i%datacentres, callersPort, readyPort, metricsPort, store.Address(), shutdownGrace.Seconds(), revocationBound.Milliseconds(), r.network())
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
@@ -309,6 +325,9 @@
 	}
 	faults, stop := context.WithTimeout(ctx, r.Duration)
 	defer stop()
+	for i := range r.routers {
+		group.Go(func() { r.runDeadlyCaller(faults, i) })
+	}
 	r.injectFaults(faults)
 	select {
 	case <-time.After(recoveryTime):
--- a/cmd/standin/chaos/fault.go
+++ b/cmd/standin/chaos/fault.go
@@ -149,6 +149,7 @@
 	if !killTimer.Stop() && !pausedAtSignal && p.pauseCount.Load() == pausesAtSignal {
 		r.addViolation("router process behind %s did not exit within its grace time", p.url)
 	}
+	r.restarts.Add(1)
 	if err := p.start(r.Router); err != nil {
 		r.addViolation("%v", err)
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -184,8 +184,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d faults, %d violations\n",
-			seed, r.Requests.Load(), r.Served.Load(), r.Refused.Load(), r.Faults.Load(), len(r.Violations()))
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d faults, %d crashes, %d violations\n",
+			seed, r.Requests.Load(), r.Served.Load(), r.Refused.Load(), r.Faults.Load(), r.Crashes.Load(), len(r.Violations()))
 		for _, v := range r.Violations() {
 			fmt.Println("  " + v)
 		}
--- a/cmd/standin/proxy/proxy.go
+++ b/cmd/standin/proxy/proxy.go
@@ -59,9 +59,12 @@
 // Proxy forwards connections to one target. Bytes that a fault blocks are forwarded after it ends, as TCP would
 // retransmit them.
 type Proxy struct {
+	target  string
+	address string
+	mu      sync.Mutex
+	// listener is nil while the proxy is stopped.
 	listener net.Listener
-	target   string
-	mu       sync.Mutex
+	closed   bool
 	fault    Fault
 	// changed is closed when the fault changes.
 	changed     chan struct{}
@@ -74,13 +77,45 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	p := &Proxy{listener: l, target: target, fault: PassThrough{}, changed: make(chan struct{}), connections: map[net.Conn]bool{}}
-	go p.accept()
+	p := &Proxy{
+		listener: l, address: l.Addr().String(), target: target, fault: PassThrough{}, changed: make(chan struct{}), connections: map[net.Conn]bool{},
+	}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the address on which the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Stop makes the proxy refuse connections and closes the open ones, as a target that has crashed does.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return
+	}
+	_ = p.listener.Close() // Nothing is left to close after an error.
+	p.listener = nil
+	for c := range p.connections {
+		_ = c.Close() // Nothing is left to close after an error.
+	}
+}
+
+// Restart makes a stopped proxy accept connections again.
+func (p *Proxy) Restart() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // SetFault replaces the active fault.
 func (p *Proxy) SetFault(f Fault) {
@@ -99,13 +134,19 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() error {
 	p.SetFault(Reset{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.listener == nil {
+		return nil
+	}
 	return eris.Wrap(p.listener.Close(), "close")
 }
 
 // accept accepts connections until the listener is closed.
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -12,6 +12,9 @@
 	"chicoryhoist.example/hoist/cmd/standin/origin"
 )
 
+// attributionTime is longer than the check for a crash after a lost response takes on loopback.
+const attributionTime = 100 * time.Millisecond
+
 // maxCrashes is the number of servers that one request may crash before its content is quarantined.
 const maxCrashes = 2
 
@@ -23,7 +26,7 @@
 	// running reports whether all servers accept connections.
 	running := func() bool {
 		for _, h := range f.hosts {
-			if !h.running() {
+			if !h.Running() {
 				return false
 			}
 		}
@@ -33,7 +36,7 @@
 	crashes := func() int {
 		n := 0
 		for _, h := range f.hosts {
-			n += h.crashCount()
+			n += h.Crashes()
 		}
 		return n
 	}
@@ -41,7 +44,7 @@
 	// crashOn makes the servers crash after the response header of the requests that deadly selects, or before it.
 	crashOn := func(afterHeader bool, deadly func(*http.Request) bool) {
 		for id, s := range f.servers {
-			s.Behave(origin.Behaviour{Crash: origin.Crash{Deadly: deadly, AfterHeader: afterHeader, Stop: f.hosts[id].crash}})
+			s.Behave(origin.Behaviour{Crash: origin.Crash{Deadly: deadly, AfterHeader: afterHeader, Stop: f.hosts[id].Crash}})
 		}
 	}
 	// sendAll sends the requests one after the other, once the servers have restarted, and returns the last result. The
@@ -54,7 +57,7 @@
 			}
 			last = send(i)
 			// The crash is attributed after the response has failed.
-			time.Sleep(crashTime / 8)
+			time.Sleep(attributionTime)
 		}
 		return last
 	}
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -66,7 +66,7 @@
 	store   *kvsrv.Store
 	log     *origin.Log
 	servers map[string]*origin.Server
-	hosts   map[string]*host
+	hosts   map[string]*origin.Host
 	url     string
 	ready   string
 	stop    context.CancelFunc
@@ -76,13 +76,13 @@
 }
 
 // serve serves the handler on a free loopback port and returns the address.
-func (f *environment) serve(h http.Handler) string { return f.host(h).address }
+func (f *environment) serve(h http.Handler) string { return f.host(h).Address() }
 
 // host serves the handler on a free loopback port until the environment is closed.
-func (f *environment) host(handler http.Handler) *host {
-	h := &host{address: "127.0.0.1:0", handler: handler}
-	Expect(h.start()).To(Succeed())
-	f.closers = append(f.closers, h.close)
+func (f *environment) host(handler http.Handler) *origin.Host {
+	h, err := origin.StartHost(handler)
+	Expect(err).NotTo(HaveOccurred())
+	f.closers = append(f.closers, func() { _ = h.Close() })
 	return h
 }
 
@@ -120,11 +120,11 @@
 // newEnvironment starts a store, two servers of each service and an instance; prepare changes the store before the instance
 // starts.
 func newEnvironment(prepare func(*kvsrv.Store)) *environment {
-	f := &environment{store: kvsrv.New(), log: &origin.Log{}, servers: map[string]*origin.Server{}, hosts: map[string]*host{}, done: make(chan error, 1)}
+	f := &environment{store: kvsrv.New(), log: &origin.Log{}, servers: map[string]*origin.Server{}, hosts: map[string]*origin.Host{}, done: make(chan error, 1)}
 	for _, id := range []string{"llm-1", "llm-2", "app-1", "app-2"} {
 		s := origin.New(id, f.log, 5*time.Millisecond)
 		f.servers[id], f.hosts[id] = s, f.host(s)
-		entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, id[:3], f.hosts[id].address)
+		entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, id[:3], f.hosts[id].Address())
 		f.store.Put("servers/"+id, []byte(entry))
 	}
 	f.publish(`"k3"`)
