relay: Look only at suspected contents when a crash is reported

Cause: each report of a crash collected the parts of all running requests of the shard, and each request was admitted by a replacement of the table of suspects once any content was charged. An engine with 128 requests sends as many reports, and they are handled by the goroutine that reads the datagrams. Change: the parts of running requests are compared with those of the report, and only if it has any; a request without quarantined content is admitted without a change of the table.

--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -339,10 +339,18 @@
 
 // chargeCrash charges a crash to those of the contents that no request in progress shows to be sound.
 func (d *dispatcher) chargeCrash(server string, born int64, contents []value.Content) {
-	sound := map[uint64]bool{}
-	for w := range d.state.Load().Answering() {
-		for _, c := range partContents(w) {
-			sound[c.Fingerprint()] = true
+	sound := make(map[uint64]bool, len(contents))
+	for _, c := range contents {
+		sound[c.Fingerprint()] = false
+	}
+	// A request whose response has begun reports the whole request only, which no other request shows to be sound.
+	if len(contents) > 1 {
+		for w := range d.state.Load().Answering() {
+			for _, c := range partContents(w) {
+				if _, suspected := sound[c.Fingerprint()]; suspected {
+					sound[c.Fingerprint()] = true
+				}
+			}
 		}
 	}
 	d.guard.crashed(value.Charge{}.WithServer(server).WithBorn(born), contents, sound)
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -93,13 +94,18 @@
 
 // admit returns the refusal of a request with quarantined content, or false if the request may be sent to a server.
 func (g *guard) admit(w value.Work) (value.PlaceAnswer, bool) {
-	if g.suspects.Load().Len() == 0 {
+	s := g.suspects.Load()
+	if s.Len() == 0 {
+		return value.PlaceAnswer{}, false
+	}
+	contents := contentsOf(w)
+	if !slices.ContainsFunc(contents, func(c value.Content) bool { return s.Convicted(c.Fingerprint()) }) {
 		return value.PlaceAnswer{}, false
 	}
 	now := g.wallClock.Now()
 	var verdict retry.Verdict
 	hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects {
-		s, verdict = s.Admit(contentsOf(w), now)
+		s, verdict = s.Admit(contents, now)
 		return s
 	})
 	refusal := value.PlaceAnswer{}.WithId(w.Id()).WithVerdict(value.PlaceVerdictQuarantined)
