--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -31,7 +31,7 @@
 // pages returns the content of every page by its path.
 func pages() map[string]string {
 	found := map[string]string{}
-	for _, pattern := range []string{"../*.md", "*.md", "notes/*.md"} {
+	for _, pattern := range []string{"../*.md", "*.md", "notes/*.md", "incidents/*.md"} {
 		for _, path := range lo.Must(filepath.Glob(pattern)) {
 			found[path] = string(lo.Must(os.ReadFile(path)))
 		}
