relay: Collect what the check for a crash needs before it starts

Cause: the check runs beside the request, which goes on at another server. Since the events of crashes name the parts of prompts, it read the request's list of avoided servers while the request changed it. Change: the contents, the fields of the events and the dispatcher are collected before the check starts. Only fields of events depended on what was read.

--- a/relay/guard.go
+++ b/relay/guard.go
@@ -211,30 +211,32 @@
 	}
 }
 
-// attributeCrash checks whether the server has crashed while it ran the request, and if so attributes the crash to the
-// contents.
+// probeCrash checks in the background whether the server has crashed while it ran the request. A server that has sent a
+// whole event has computed the prompt, so its parts cannot have caused the crash.
 //
-// A lost response alone does not prove a crash, because responses are also lost in the network. A server that refuses
-// connections directly afterwards has crashed.
-func (j *job) attributeCrash(s value.BackendServer, contents []value.Content) {
-	ctx, cancel := context.WithTimeout(j.ctx, crashProbeTimeout.Duration())
-	defer cancel()
-	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(j.fingerprint), "parts": partNames(j.work(0))}
-	if !j.Client.Refused(ctx, s.Address()) {
-		j.Log.Write(event.CrashUnconfirmed, fields)
-		return
-	}
-	j.Log.Write(event.CrashAttributed, fields)
-	j.dispatcher.crashed(s, contents)
-}
-
-// probeCrash checks in the background whether the server has crashed. A server that has sent a whole event has computed
-// the prompt, so its parts cannot have caused the crash.
+// The request may go on meanwhile, so the check gets what it needs of it beforehand.
 func (j *job) probeCrash(s value.BackendServer) {
 	w := j.work(0)
 	contents := contentsOf(w)
 	if j.began {
 		contents = []value.Content{wholeContent(w)}
 	}
-	go j.Log.Contain("crash probe", func() { j.attributeCrash(s, contents) })
+	fields := logrus.Fields{"request": j.request.ID, "server": s.Id(), "content": contentName(j.fingerprint), "parts": partNames(w)}
+	d := j.dispatcher
+	go j.Log.Contain("crash probe", func() { j.attributeCrash(d, s, contents, fields) })
+}
+
+// attributeCrash attributes a crash of the server to the contents if the server refuses connections.
+//
+// A lost response alone does not prove a crash, because responses are also lost in the network. A server that refuses
+// connections directly afterwards has crashed.
+func (r *Relay) attributeCrash(d *dispatcher, s value.BackendServer, contents []value.Content, fields logrus.Fields) {
+	ctx, cancel := context.WithTimeout(r.ctx, crashProbeTimeout.Duration())
+	defer cancel()
+	if !r.Client.Refused(ctx, s.Address()) {
+		r.Log.Write(event.CrashUnconfirmed, fields)
+		return
+	}
+	r.Log.Write(event.CrashAttributed, fields)
+	d.crashed(s, contents)
 }
