retry: Draw start times, depths and shared tables in the test of merging

Cause: the property test of merging knew neither the start time of a crashed process nor the depth of a content, on which merging and the choice of the cause depend since the quarantine of parts. Change: both are drawn, and the table of shared content is tried too; nothing was taken away.

--- a/retry/rapid_test.go
+++ b/retry/rapid_test.go
@@ -21,18 +21,21 @@
 	rapid.Check(t, func(t *rapid.T) {
 		charge := rapid.Custom(func(t *rapid.T) value.Charge {
 			return value.Charge{}.WithServer(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")).
-				WithAtMs(int64(rapid.IntRange(0, 20000).Draw(t, "at")))
+				WithAtMs(int64(rapid.IntRange(0, 20000).Draw(t, "at"))).WithBorn(rapid.Int64Range(0, 2).Draw(t, "born"))
 		})
 		items := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) value.Quarantine {
 			return value.Quarantine{}.WithFingerprint(rapid.Uint64Range(1, 3).Draw(t, "fingerprint")).
 				WithCharges(value.ListOf(rapid.SliceOfN(charge, 1, 10).Draw(t, "charges")...)).
-				WithClearedMs(int64(rapid.IntRange(0, 15000).Draw(t, "cleared")))
+				WithClearedMs(int64(rapid.IntRange(0, 15000).Draw(t, "cleared"))).WithDepth(rapid.Int32Range(0, 2).Draw(t, "depth"))
 		}), 1, 8).Draw(t, "items")
 		again := rapid.Permutation(slices.Concat(items, items)).Draw(t, "order")
 
-		now := hoist.Millis(20000)
+		now, shared := hoist.Millis(20000), rapid.Bool().Draw(t, "shared")
 		merge := func(items []value.Quarantine) retry.Suspects {
 			x := retry.NewSuspects(hoist.Minute)
+			if shared {
+				x = x.WithSharedContent(10 * hoist.Second)
+			}
 			for _, q := range items {
 				x = x.Merged(q, now)
 			}
