wire, assign: Add the schema for evacuations, cold servers, regions and limits on callers

The conditions under which a server may get a request move from choose to files of their own; behaviour is unchanged (go test ./assign ./relay ./config ./feed ./platform passes).

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -15,10 +15,7 @@
 	for pass := range 2 {
 		for i := range s.servers.Len() {
 			x := s.servers.At(i)
-			if x.entry.Leaving() || avoided(w, x.entry.Id()) || (x.backoffUntil > now) != (pass == 1) {
-				continue
-			}
-			if !admits(x, w) || x.pausedUntil(w.Origin()) > now {
+			if (x.backoffUntil > now) != (pass == 1) || !available(x, w, now) {
 				continue
 			}
 			uncached, recomputed := s.uncached(w, x, now)
@@ -33,16 +30,6 @@
 	return best, estimate
 }
 
-// avoided reports whether the request excludes the server, because an earlier attempt there failed.
-func avoided(w value.Work, id string) bool {
-	for a := range w.Avoid().All() {
-		if a == id {
-			return true
-		}
-	}
-	return false
-}
-
 // uncached returns the number of prompt tokens that the server has to compute, and how many of them count as
 // recomputed because another server holds them in its cache.
 func (s State) uncached(w value.Work, x server, now hoist.Millis) (uncached, recomputed int32) {
--- a/assign/state.go
+++ b/assign/state.go
@@ -321,7 +321,7 @@
 // hasUsableServer reports whether the shard has a server that could take the request, now or before its deadline.
 func (s State) hasUsableServer(w value.Work) bool {
 	for x := range s.servers.All() {
-		if !x.entry.Leaving() && !avoided(w, x.entry.Id()) && x.pausedUntil(w.Origin()) < queueDeadline(w) {
+		if availableBefore(x, w, queueDeadline(w)) {
 			return true
 		}
 	}
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -4,16 +4,19 @@
 
 // ForwardSettings are the start-up settings of one forwarding router.
 type ForwardSettings struct {
-	name       string
-	datacentre string
-	listen     ForwardListen
-	store      ForwardStore
-	resources  ForwardResources
-	bounds     ForwardBounds
-	retries    ForwardRetries
-	peers      ForwardPeers
-	region     string
-	bootstrap  bool
+	name        string
+	datacentre  string
+	listen      ForwardListen
+	store       ForwardStore
+	resources   ForwardResources
+	bounds      ForwardBounds
+	retries     ForwardRetries
+	peers       ForwardPeers
+	region      string
+	bootstrap   bool
+	datacentres List[ForwardDatacentre]
+	clients     ForwardClients
+	balance     ForwardBalance
 }
 
 // Name returns the field's value. Name of the instance.
@@ -106,6 +109,125 @@
 	return f
 }
 
+// Datacentres returns the field's value. Data centres of the deployment with their regions; servers of other data centres have no region.
+func (f ForwardSettings) Datacentres() List[ForwardDatacentre] { return f.datacentres }
+
+// WithDatacentres returns a copy with the field replaced.
+func (f ForwardSettings) WithDatacentres(v List[ForwardDatacentre]) ForwardSettings {
+	f.datacentres = v
+	return f
+}
+
+// Clients returns the field's value. Limits on callers.
+func (f ForwardSettings) Clients() ForwardClients { return f.clients }
+
+// WithClients returns a copy with the field replaced.
+func (f ForwardSettings) WithClients(v ForwardClients) ForwardSettings {
+	f.clients = v
+	return f
+}
+
+// Balance returns the field's value. Placement of requests at engines.
+func (f ForwardSettings) Balance() ForwardBalance { return f.balance }
+
+// WithBalance returns a copy with the field replaced.
+func (f ForwardSettings) WithBalance(v ForwardBalance) ForwardSettings {
+	f.balance = v
+	return f
+}
+
+// ForwardDatacentre is one data centre of the deployment.
+type ForwardDatacentre struct {
+	name   string
+	region string
+}
+
+// Name returns the field's value. Name of the data centre.
+func (f ForwardDatacentre) Name() string { return f.name }
+
+// WithName returns a copy with the field replaced.
+func (f ForwardDatacentre) WithName(v string) ForwardDatacentre {
+	f.name = v
+	return f
+}
+
+// Region returns the field's value. Region of the data centre.
+func (f ForwardDatacentre) Region() string { return f.region }
+
+// WithRegion returns a copy with the field replaced.
+func (f ForwardDatacentre) WithRegion(v string) ForwardDatacentre {
+	f.region = v
+	return f
+}
+
+// ForwardClients limits what callers make the process hold.
+type ForwardClients struct {
+	bodyMib     float64
+	addressMib  float64
+	bodyRate    float64
+	bodyGraceMs float64
+	connections float64
+}
+
+// BodyMib returns the field's value. Memory for request bodies of all callers together, in mebibytes; default a quarter of the memory of the process.
+func (f ForwardClients) BodyMib() float64 { return f.bodyMib }
+
+// WithBodyMib returns a copy with the field replaced.
+func (f ForwardClients) WithBodyMib(v float64) ForwardClients {
+	f.bodyMib = v
+	return f
+}
+
+// AddressMib returns the field's value. Memory for the request bodies of one remote address, in mebibytes; default half of body_mib.
+func (f ForwardClients) AddressMib() float64 { return f.addressMib }
+
+// WithAddressMib returns a copy with the field replaced.
+func (f ForwardClients) WithAddressMib(v float64) ForwardClients {
+	f.addressMib = v
+	return f
+}
+
+// BodyRate returns the field's value. Lowest mean rate at which a caller sends a request body, in bytes per second, after body_grace_ms; default 1024.
+func (f ForwardClients) BodyRate() float64 { return f.bodyRate }
+
+// WithBodyRate returns a copy with the field replaced.
+func (f ForwardClients) WithBodyRate(v float64) ForwardClients {
+	f.bodyRate = v
+	return f
+}
+
+// BodyGraceMs returns the field's value. Time for which a body may be slower than body_rate, in milliseconds; default 5000.
+func (f ForwardClients) BodyGraceMs() float64 { return f.bodyGraceMs }
+
+// WithBodyGraceMs returns a copy with the field replaced.
+func (f ForwardClients) WithBodyGraceMs(v float64) ForwardClients {
+	f.bodyGraceMs = v
+	return f
+}
+
+// Connections returns the field's value. Number of connections of callers; default what the descriptors of the process allow besides those for servers.
+func (f ForwardClients) Connections() float64 { return f.connections }
+
+// WithConnections returns a copy with the field replaced.
+func (f ForwardClients) WithConnections(v float64) ForwardClients {
+	f.connections = v
+	return f
+}
+
+// ForwardBalance switches the placement by learned load.
+type ForwardBalance struct {
+	maxSlots int32
+}
+
+// MaxSlots returns the field's value. Greatest number of slots of an engine up to which a service is placed by learned load; 0 switches it off. Engines with few slots for their speed cannot absorb an uneven load in their own queue.
+func (f ForwardBalance) MaxSlots() int32 { return f.maxSlots }
+
+// WithMaxSlots returns a copy with the field replaced.
+func (f ForwardBalance) WithMaxSlots(v int32) ForwardBalance {
+	f.maxSlots = v
+	return f
+}
+
 // ForwardListen holds the listen addresses of a forwarding router, as IP:port.
 type ForwardListen struct {
 	callers string
@@ -180,10 +302,11 @@
 
 // ForwardResources limits the resources of the process.
 type ForwardResources struct {
-	memoryMib float64
-	cores     float64
-	coreShare float64
-	linkMbps  float64
+	memoryMib   float64
+	cores       float64
+	coreShare   float64
+	linkMbps    float64
+	descriptors float64
 }
 
 // MemoryMib returns the field's value. Memory, in mebibytes; default 128.
@@ -222,10 +345,22 @@
 	return f
 }
 
+// Descriptors returns the field's value. Number of file descriptors of the process; default 1024.
+func (f ForwardResources) Descriptors() float64 { return f.descriptors }
+
+// WithDescriptors returns a copy with the field replaced.
+func (f ForwardResources) WithDescriptors(v float64) ForwardResources {
+	f.descriptors = v
+	return f
+}
+
 // ForwardBounds holds the time limits that the deployment guarantees.
 type ForwardBounds struct {
-	graceS   float64
-	revokeMs float64
+	graceS      float64
+	revokeMs    float64
+	coldOverage float64
+	coldSlack   float64
+	evacuateMs  float64
 }
 
 // GraceS returns the field's value. Time from SIGTERM to SIGKILL, in seconds; default 8.
@@ -246,6 +381,33 @@
 	return f
 }
 
+// ColdOverage returns the field's value. Factor by which requests to a cold server may exceed the rate that it tolerates; zero if the deployment sets no bound.
+func (f ForwardBounds) ColdOverage() float64 { return f.coldOverage }
+
+// WithColdOverage returns a copy with the field replaced.
+func (f ForwardBounds) WithColdOverage(v float64) ForwardBounds {
+	f.coldOverage = v
+	return f
+}
+
+// ColdSlack returns the field's value. Number of requests in any second by which a cold server may exceed that; zero if the deployment sets no bound.
+func (f ForwardBounds) ColdSlack() float64 { return f.coldSlack }
+
+// WithColdSlack returns a copy with the field replaced.
+func (f ForwardBounds) WithColdSlack(v float64) ForwardBounds {
+	f.coldSlack = v
+	return f
+}
+
+// EvacuateMs returns the field's value. Time within which servers of an evacuated data centre get no new requests, in milliseconds; zero if the deployment evacuates none.
+func (f ForwardBounds) EvacuateMs() float64 { return f.evacuateMs }
+
+// WithEvacuateMs returns a copy with the field replaced.
+func (f ForwardBounds) WithEvacuateMs(v float64) ForwardBounds {
+	f.evacuateMs = v
+	return f
+}
+
 // ForwardRetries limits the retries of requests.
 type ForwardRetries struct {
 	share float64
--- a/value/mesh.gen.go
+++ b/value/mesh.gen.go
@@ -56,6 +56,10 @@
 	PlaceChangeLeaving PlaceChange = 4
 	// The server has refused a request and wants none from the sender for a time.
 	PlaceChangePaused PlaceChange = 5
+	// A response of the server states how long it stays cold.
+	PlaceChangeCold PlaceChange = 6
+	// The server has refused connections, so it starts anew before it serves again.
+	PlaceChangeDown PlaceChange = 7
 )
 
 // String returns the lower-case name of the value.
@@ -73,6 +77,10 @@
 		return "leaving"
 	case PlaceChangePaused:
 		return "paused"
+	case PlaceChangeCold:
+		return "cold"
+	case PlaceChangeDown:
+		return "down"
 	default:
 		return "unspecified"
 	}
@@ -210,6 +218,7 @@
 	running  int32
 	overload bool
 	shard    string
+	load     ShardLoad
 }
 
 // Id returns the field's value. ID of the request.
@@ -293,6 +302,49 @@
 	return p
 }
 
+// Load returns the field's value. Load of the shard; only grants and refusals have it.
+func (p PlaceAnswer) Load() ShardLoad { return p.load }
+
+// WithLoad returns a copy with the field replaced.
+func (p PlaceAnswer) WithLoad(v ShardLoad) PlaceAnswer {
+	p.load = v
+	return p
+}
+
+// ShardLoad is the load of a shard as its owner knows it.
+type ShardLoad struct {
+	servers   int32
+	pendingMs float64
+	waiting   int32
+}
+
+// Servers returns the field's value. Number of servers that get new requests.
+func (s ShardLoad) Servers() int32 { return s.servers }
+
+// WithServers returns a copy with the field replaced.
+func (s ShardLoad) WithServers(v int32) ShardLoad {
+	s.servers = v
+	return s
+}
+
+// PendingMs returns the field's value. Estimated time in which a server of the shard, in the mean, computes the prompt tokens that it has yet to compute, in milliseconds.
+func (s ShardLoad) PendingMs() float64 { return s.pendingMs }
+
+// WithPendingMs returns a copy with the field replaced.
+func (s ShardLoad) WithPendingMs(v float64) ShardLoad {
+	s.pendingMs = v
+	return s
+}
+
+// Waiting returns the field's value. Number of requests that wait at the owner.
+func (s ShardLoad) Waiting() int32 { return s.waiting }
+
+// WithWaiting returns a copy with the field replaced.
+func (s ShardLoad) WithWaiting(v int32) ShardLoad {
+	s.waiting = v
+	return s
+}
+
 // PlaceNote reports a change in the state of a request, or of a server, to the shard owner.
 type PlaceNote struct {
 	shard   string
@@ -303,6 +355,7 @@
 	loaded  bool
 	server  string
 	pauseMs int64
+	coldMs  int64
 }
 
 // Shard returns the field's value. Shard of the request.
@@ -359,7 +412,7 @@
 	return p
 }
 
-// Server returns the field's value. ID of the server that is leaving or paused; only these changes have it.
+// Server returns the field's value. ID of the server that is leaving, paused, cold or down; only these changes have it.
 func (p PlaceNote) Server() string { return p.server }
 
 // WithServer returns a copy with the field replaced.
@@ -377,6 +430,15 @@
 	return p
 }
 
+// ColdMs returns the field's value. Time for which a cold server stays cold, in milliseconds.
+func (p PlaceNote) ColdMs() int64 { return p.coldMs }
+
+// WithColdMs returns a copy with the field replaced.
+func (p PlaceNote) WithColdMs(v int64) PlaceNote {
+	p.coldMs = v
+	return p
+}
+
 // PlaceCrash reports to the shard owner that a server crashed while it ran a request.
 type PlaceCrash struct {
 	shard    string
@@ -700,6 +762,8 @@
 
 func (FeedOther) isFeedRecordBody() {}
 
+func (Evacuation) isFeedRecordBody() {}
+
 // FeedRecord is one key of the store at one revision.
 type FeedRecord struct {
 	key      string
@@ -734,6 +798,20 @@
 	return f
 }
 
+// Evacuation requests that no backend server of a data centre gets new requests until its key is removed.
+type Evacuation struct {
+	datacentre string
+}
+
+// Datacentre returns the field's value. Data centre.
+func (e Evacuation) Datacentre() string { return e.datacentre }
+
+// WithDatacentre returns a copy with the field replaced.
+func (e Evacuation) WithDatacentre(v string) Evacuation {
+	e.datacentre = v
+	return e
+}
+
 // FeedGone marks a removed key.
 type FeedGone struct {
 }
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -34,11 +34,15 @@
 
 // RouteTable is the published configuration of a forwarding router.
 type RouteTable struct {
-	version   uint64
-	routes    List[Route]
-	holders   List[KeyHolder]
-	bodyBytes int64
-	keyless   bool
+	version         uint64
+	routes          List[Route]
+	holders         List[KeyHolder]
+	bodyBytes       int64
+	keyless         bool
+	services        List[ServiceSpec]
+	headerBytes     int64
+	headerTimeoutMs int64
+	idleTimeoutMs   int64
 }
 
 // Version returns the field's value. Version orders tables; a router never replaces a table by a lower version.
@@ -86,6 +90,106 @@
 	return r
 }
 
+// Services returns the field's value. Services that the routes refer to, as far as the configuration describes them.
+func (r RouteTable) Services() List[ServiceSpec] { return r.services }
+
+// WithServices returns a copy with the field replaced.
+func (r RouteTable) WithServices(v List[ServiceSpec]) RouteTable {
+	r.services = v
+	return r
+}
+
+// HeaderBytes returns the field's value. Maximum size of a request header, in bytes; zero means the default.
+func (r RouteTable) HeaderBytes() int64 { return r.headerBytes }
+
+// WithHeaderBytes returns a copy with the field replaced.
+func (r RouteTable) WithHeaderBytes(v int64) RouteTable {
+	r.headerBytes = v
+	return r
+}
+
+// HeaderTimeoutMs returns the field's value. Time within which a caller sends a request header, in milliseconds; zero means the default.
+func (r RouteTable) HeaderTimeoutMs() int64 { return r.headerTimeoutMs }
+
+// WithHeaderTimeoutMs returns a copy with the field replaced.
+func (r RouteTable) WithHeaderTimeoutMs(v int64) RouteTable {
+	r.headerTimeoutMs = v
+	return r
+}
+
+// IdleTimeoutMs returns the field's value. Time for which a caller's connection may be idle, in milliseconds; zero means the default.
+func (r RouteTable) IdleTimeoutMs() int64 { return r.idleTimeoutMs }
+
+// WithIdleTimeoutMs returns a copy with the field replaced.
+func (r RouteTable) WithIdleTimeoutMs(v int64) RouteTable {
+	r.idleTimeoutMs = v
+	return r
+}
+
+// ServiceSpec describes the backend servers of one service.
+type ServiceSpec struct {
+	name               string
+	coldStartMs        int64
+	coldRate           float64
+	engineSlots        int32
+	engineMemoryTokens int64
+	maxConnections     int32
+}
+
+// Name returns the field's value. Name of the service.
+func (s ServiceSpec) Name() string { return s.name }
+
+// WithName returns a copy with the field replaced.
+func (s ServiceSpec) WithName(v string) ServiceSpec {
+	s.name = v
+	return s
+}
+
+// ColdStartMs returns the field's value. Time after its start for which a server is cold, in milliseconds.
+func (s ServiceSpec) ColdStartMs() int64 { return s.coldStartMs }
+
+// WithColdStartMs returns a copy with the field replaced.
+func (s ServiceSpec) WithColdStartMs(v int64) ServiceSpec {
+	s.coldStartMs = v
+	return s
+}
+
+// ColdRate returns the field's value. Requests a second that a cold server tolerates; zero if servers of the service are never cold.
+func (s ServiceSpec) ColdRate() float64 { return s.coldRate }
+
+// WithColdRate returns a copy with the field replaced.
+func (s ServiceSpec) WithColdRate(v float64) ServiceSpec {
+	s.coldRate = v
+	return s
+}
+
+// EngineSlots returns the field's value. Requests that an engine runs at once; zero for plain services.
+func (s ServiceSpec) EngineSlots() int32 { return s.engineSlots }
+
+// WithEngineSlots returns a copy with the field replaced.
+func (s ServiceSpec) WithEngineSlots(v int32) ServiceSpec {
+	s.engineSlots = v
+	return s
+}
+
+// EngineMemoryTokens returns the field's value. Memory of an engine for running requests and cached prompt parts, in tokens; zero for plain services.
+func (s ServiceSpec) EngineMemoryTokens() int64 { return s.engineMemoryTokens }
+
+// WithEngineMemoryTokens returns a copy with the field replaced.
+func (s ServiceSpec) WithEngineMemoryTokens(v int64) ServiceSpec {
+	s.engineMemoryTokens = v
+	return s
+}
+
+// MaxConnections returns the field's value. Connections that a server accepts; zero if unknown.
+func (s ServiceSpec) MaxConnections() int32 { return s.maxConnections }
+
+// WithMaxConnections returns a copy with the field replaced.
+func (s ServiceSpec) WithMaxConnections(v int32) ServiceSpec {
+	s.maxConnections = v
+	return s
+}
+
 // Route forwards the requests to one host and path prefix to backend servers.
 type Route struct {
 	name      string
@@ -101,6 +205,7 @@
 	anonymous bool
 	cached    bool
 	resumable bool
+	regions   List[string]
 }
 
 // Name returns the field's value. Name identifies the route in logs.
@@ -220,6 +325,15 @@
 	return r
 }
 
+// Regions returns the field's value. Regions whose backend servers may run the requests; empty for all.
+func (r Route) Regions() List[string] { return r.regions }
+
+// WithRegions returns a copy with the field replaced.
+func (r Route) WithRegions(v List[string]) Route {
+	r.regions = v
+	return r
+}
+
 // RouteTarget is one service that a route sends requests to.
 type RouteTarget struct {
 	service string
@@ -246,9 +360,10 @@
 
 // KeyHolder is a workspace with its API keys.
 type KeyHolder struct {
-	name string
-	keys List[string]
-	rank int32
+	name    string
+	keys    List[string]
+	rank    int32
+	regions List[string]
 }
 
 // Name returns the field's value. Name of the workspace.
@@ -278,6 +393,15 @@
 	return k
 }
 
+// Regions returns the field's value. Regions whose backend servers may run its requests; empty for all.
+func (k KeyHolder) Regions() List[string] { return k.regions }
+
+// WithRegions returns a copy with the field replaced.
+func (k KeyHolder) WithRegions(v List[string]) KeyHolder {
+	k.regions = v
+	return k
+}
+
 // BackendServer is one published backend server.
 type BackendServer struct {
 	id         string
@@ -288,6 +412,8 @@
 	leaving    bool
 	coldMs     int64
 	born       int64
+	region     string
+	evacuated  bool
 }
 
 // Id returns the field's value. ID of the server, which changes with each start.
@@ -362,6 +488,24 @@
 	return b
 }
 
+// Region returns the field's value. Region of the server, by its data centre; empty if unknown. The view of the store sets it, entries do not have it.
+func (b BackendServer) Region() string { return b.region }
+
+// WithRegion returns a copy with the field replaced.
+func (b BackendServer) WithRegion(v string) BackendServer {
+	b.region = v
+	return b
+}
+
+// Evacuated returns the field's value. Evacuated servers get no new requests, because their data centre is evacuated. The view of the store sets it, entries do not have it.
+func (b BackendServer) Evacuated() bool { return b.evacuated }
+
+// WithEvacuated returns a copy with the field replaced.
+func (b BackendServer) WithEvacuated(v bool) BackendServer {
+	b.evacuated = v
+	return b
+}
+
 // PromptPart is one part of a prompt; backend servers cache parts.
 type PromptPart struct {
 	id     uint64
@@ -400,6 +544,8 @@
 	datacentre   string
 	retry        bool
 	fingerprint  uint64
+	workspace    string
+	regions      List[string]
 }
 
 // Id returns the field's value. ID of the request within this process.
@@ -510,6 +656,24 @@
 	return w
 }
 
+// Workspace returns the field's value. Workspace of the request.
+func (w Work) Workspace() string { return w.workspace }
+
+// WithWorkspace returns a copy with the field replaced.
+func (w Work) WithWorkspace(v string) Work {
+	w.workspace = v
+	return w
+}
+
+// Regions returns the field's value. Regions whose backend servers may run the request; empty for all.
+func (w Work) Regions() List[string] { return w.regions }
+
+// WithRegions returns a copy with the field replaced.
+func (w Work) WithRegions(v List[string]) Work {
+	w.regions = v
+	return w
+}
+
 // ServerLoad is the load report of a backend server in a response.
 type ServerLoad struct {
 	running  int32
@@ -570,6 +734,7 @@
 	load         string
 	movedStatus  int32
 	leaving      string
+	cold         string
 }
 
 // RequestId returns the field's value. Request header: ID of the request, forwarded unchanged and echoed in the response.
@@ -697,3 +862,12 @@
 	d.leaving = v
 	return d
 }
+
+// Cold returns the field's value. Response header: time for which the server stays cold, in milliseconds.
+func (d Dialect) Cold() string { return d.cold }
+
+// WithCold returns a copy with the field replaced.
+func (d Dialect) WithCold(v string) Dialect {
+	d.cold = v
+	return d
+}
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -33,6 +33,19 @@
 	}
 	v = v.WithRegion(m.GetRegion())
 	v = v.WithBootstrap(m.GetBootstrap())
+	if s := m.GetDatacentres(); len(s) > 0 {
+		items := make([]value.ForwardDatacentre, len(s))
+		for i := range s {
+			items[i] = ForwardDatacentreValue(s[i])
+		}
+		v = v.WithDatacentres(value.ListOf(items...))
+	}
+	if m.HasClients() {
+		v = v.WithClients(ForwardClientsValue(m.GetClients()))
+	}
+	if m.HasBalance() {
+		v = v.WithBalance(ForwardBalanceValue(m.GetBalance()))
+	}
 	return v
 }
 
@@ -61,6 +74,71 @@
 	}
 	m.SetRegion(v.Region())
 	m.SetBootstrap(v.Bootstrap())
+	if v.Datacentres().Len() > 0 {
+		items := make([]*ForwardDatacentre, 0, v.Datacentres().Len())
+		for x := range v.Datacentres().All() {
+			items = append(items, ForwardDatacentreWire(x))
+		}
+		m.SetDatacentres(items)
+	}
+	if x := ForwardClientsWire(v.Clients()); proto.Size(x) > 0 {
+		m.SetClients(x)
+	}
+	if x := ForwardBalanceWire(v.Balance()); proto.Size(x) > 0 {
+		m.SetBalance(x)
+	}
+	return m
+}
+
+// ForwardDatacentreValue returns the immutable value of the message.
+func ForwardDatacentreValue(m *ForwardDatacentre) value.ForwardDatacentre {
+	var v value.ForwardDatacentre
+	v = v.WithName(m.GetName())
+	v = v.WithRegion(m.GetRegion())
+	return v
+}
+
+// ForwardDatacentreWire returns the message of the immutable value.
+func ForwardDatacentreWire(v value.ForwardDatacentre) *ForwardDatacentre {
+	m := &ForwardDatacentre{}
+	m.SetName(v.Name())
+	m.SetRegion(v.Region())
+	return m
+}
+
+// ForwardClientsValue returns the immutable value of the message.
+func ForwardClientsValue(m *ForwardClients) value.ForwardClients {
+	var v value.ForwardClients
+	v = v.WithBodyMib(m.GetBodyMib())
+	v = v.WithAddressMib(m.GetAddressMib())
+	v = v.WithBodyRate(m.GetBodyRate())
+	v = v.WithBodyGraceMs(m.GetBodyGraceMs())
+	v = v.WithConnections(m.GetConnections())
+	return v
+}
+
+// ForwardClientsWire returns the message of the immutable value.
+func ForwardClientsWire(v value.ForwardClients) *ForwardClients {
+	m := &ForwardClients{}
+	m.SetBodyMib(v.BodyMib())
+	m.SetAddressMib(v.AddressMib())
+	m.SetBodyRate(v.BodyRate())
+	m.SetBodyGraceMs(v.BodyGraceMs())
+	m.SetConnections(v.Connections())
+	return m
+}
+
+// ForwardBalanceValue returns the immutable value of the message.
+func ForwardBalanceValue(m *ForwardBalance) value.ForwardBalance {
+	var v value.ForwardBalance
+	v = v.WithMaxSlots(m.GetMaxSlots())
+	return v
+}
+
+// ForwardBalanceWire returns the message of the immutable value.
+func ForwardBalanceWire(v value.ForwardBalance) *ForwardBalance {
+	m := &ForwardBalance{}
+	m.SetMaxSlots(v.MaxSlots())
 	return m
 }
 
@@ -131,6 +209,7 @@
 	v = v.WithCores(m.GetCores())
 	v = v.WithCoreShare(m.GetCoreShare())
 	v = v.WithLinkMbps(m.GetLinkMbps())
+	v = v.WithDescriptors(m.GetDescriptors())
 	return v
 }
 
@@ -141,6 +220,7 @@
 	m.SetCores(v.Cores())
 	m.SetCoreShare(v.CoreShare())
 	m.SetLinkMbps(v.LinkMbps())
+	m.SetDescriptors(v.Descriptors())
 	return m
 }
 
@@ -149,6 +229,9 @@
 	var v value.ForwardBounds
 	v = v.WithGraceS(m.GetGraceS())
 	v = v.WithRevokeMs(m.GetRevokeMs())
+	v = v.WithColdOverage(m.GetColdOverage())
+	v = v.WithColdSlack(m.GetColdSlack())
+	v = v.WithEvacuateMs(m.GetEvacuateMs())
 	return v
 }
 
@@ -157,6 +240,9 @@
 	m := &ForwardBounds{}
 	m.SetGraceS(v.GraceS())
 	m.SetRevokeMs(v.RevokeMs())
+	m.SetColdOverage(v.ColdOverage())
+	m.SetColdSlack(v.ColdSlack())
+	m.SetEvacuateMs(v.EvacuateMs())
 	return m
 }
 
--- a/wire/mesh.value.go
+++ b/wire/mesh.value.go
@@ -150,6 +150,9 @@
 	v = v.WithRunning(m.GetRunning())
 	v = v.WithOverload(m.GetOverload())
 	v = v.WithShard(m.GetShard())
+	if m.HasLoad() {
+		v = v.WithLoad(ShardLoadValue(m.GetLoad()))
+	}
 	return v
 }
 
@@ -165,6 +168,27 @@
 	m.SetRunning(v.Running())
 	m.SetOverload(v.Overload())
 	m.SetShard(v.Shard())
+	if x := ShardLoadWire(v.Load()); proto.Size(x) > 0 {
+		m.SetLoad(x)
+	}
+	return m
+}
+
+// ShardLoadValue returns the immutable value of the message.
+func ShardLoadValue(m *ShardLoad) value.ShardLoad {
+	var v value.ShardLoad
+	v = v.WithServers(m.GetServers())
+	v = v.WithPendingMs(m.GetPendingMs())
+	v = v.WithWaiting(m.GetWaiting())
+	return v
+}
+
+// ShardLoadWire returns the message of the immutable value.
+func ShardLoadWire(v value.ShardLoad) *ShardLoad {
+	m := &ShardLoad{}
+	m.SetServers(v.Servers())
+	m.SetPendingMs(v.PendingMs())
+	m.SetWaiting(v.Waiting())
 	return m
 }
 
@@ -181,6 +205,7 @@
 	v = v.WithLoaded(m.GetLoaded())
 	v = v.WithServer(m.GetServer())
 	v = v.WithPauseMs(m.GetPauseMs())
+	v = v.WithColdMs(m.GetColdMs())
 	return v
 }
 
@@ -197,6 +222,7 @@
 	m.SetLoaded(v.Loaded())
 	m.SetServer(v.Server())
 	m.SetPauseMs(v.PauseMs())
+	m.SetColdMs(v.ColdMs())
 	return m
 }
 
@@ -408,6 +434,8 @@
 		v = v.WithBody(FeedUnreadableValue(m.GetUnreadable()))
 	case FeedRecord_Other_case:
 		v = v.WithBody(FeedOtherValue(m.GetOther()))
+	case FeedRecord_Evacuation_case:
+		v = v.WithBody(EvacuationValue(m.GetEvacuation()))
 	}
 	return v
 }
@@ -428,10 +456,26 @@
 		m.SetUnreadable(FeedUnreadableWire(b))
 	case value.FeedOther:
 		m.SetOther(FeedOtherWire(b))
+	case value.Evacuation:
+		m.SetEvacuation(EvacuationWire(b))
 	}
 	return m
 }
 
+// EvacuationValue returns the immutable value of the message.
+func EvacuationValue(m *Evacuation) value.Evacuation {
+	var v value.Evacuation
+	v = v.WithDatacentre(m.GetDatacentre())
+	return v
+}
+
+// EvacuationWire returns the message of the immutable value.
+func EvacuationWire(v value.Evacuation) *Evacuation {
+	m := &Evacuation{}
+	m.SetDatacentre(v.Datacentre())
+	return m
+}
+
 // FeedGoneValue returns the immutable value of the message.
 func FeedGoneValue(m *FeedGone) value.FeedGone {
 	var v value.FeedGone
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -24,6 +24,16 @@
 	}
 	v = v.WithBodyBytes(m.GetBodyBytes())
 	v = v.WithKeyless(m.GetKeyless())
+	if s := m.GetServices(); len(s) > 0 {
+		items := make([]value.ServiceSpec, len(s))
+		for i := range s {
+			items[i] = ServiceSpecValue(s[i])
+		}
+		v = v.WithServices(value.ListOf(items...))
+	}
+	v = v.WithHeaderBytes(m.GetHeaderBytes())
+	v = v.WithHeaderTimeoutMs(m.GetHeaderTimeoutMs())
+	v = v.WithIdleTimeoutMs(m.GetIdleTimeoutMs())
 	return v
 }
 
@@ -47,6 +57,40 @@
 	}
 	m.SetBodyBytes(v.BodyBytes())
 	m.SetKeyless(v.Keyless())
+	if v.Services().Len() > 0 {
+		items := make([]*ServiceSpec, 0, v.Services().Len())
+		for x := range v.Services().All() {
+			items = append(items, ServiceSpecWire(x))
+		}
+		m.SetServices(items)
+	}
+	m.SetHeaderBytes(v.HeaderBytes())
+	m.SetHeaderTimeoutMs(v.HeaderTimeoutMs())
+	m.SetIdleTimeoutMs(v.IdleTimeoutMs())
+	return m
+}
+
+// ServiceSpecValue returns the immutable value of the message.
+func ServiceSpecValue(m *ServiceSpec) value.ServiceSpec {
+	var v value.ServiceSpec
+	v = v.WithName(m.GetName())
+	v = v.WithColdStartMs(m.GetColdStartMs())
+	v = v.WithColdRate(m.GetColdRate())
+	v = v.WithEngineSlots(m.GetEngineSlots())
+	v = v.WithEngineMemoryTokens(m.GetEngineMemoryTokens())
+	v = v.WithMaxConnections(m.GetMaxConnections())
+	return v
+}
+
+// ServiceSpecWire returns the message of the immutable value.
+func ServiceSpecWire(v value.ServiceSpec) *ServiceSpec {
+	m := &ServiceSpec{}
+	m.SetName(v.Name())
+	m.SetColdStartMs(v.ColdStartMs())
+	m.SetColdRate(v.ColdRate())
+	m.SetEngineSlots(v.EngineSlots())
+	m.SetEngineMemoryTokens(v.EngineMemoryTokens())
+	m.SetMaxConnections(v.MaxConnections())
 	return m
 }
 
@@ -72,6 +116,13 @@
 	v = v.WithAnonymous(m.GetAnonymous())
 	v = v.WithCached(m.GetCached())
 	v = v.WithResumable(m.GetResumable())
+	if s := m.GetRegions(); len(s) > 0 {
+		items := make([]string, len(s))
+		for i := range s {
+			items[i] = s[i]
+		}
+		v = v.WithRegions(value.ListOf(items...))
+	}
 	return v
 }
 
@@ -97,6 +148,13 @@
 	m.SetAnonymous(v.Anonymous())
 	m.SetCached(v.Cached())
 	m.SetResumable(v.Resumable())
+	if v.Regions().Len() > 0 {
+		items := make([]string, 0, v.Regions().Len())
+		for x := range v.Regions().All() {
+			items = append(items, x)
+		}
+		m.SetRegions(items)
+	}
 	return m
 }
 
@@ -128,6 +186,13 @@
 		v = v.WithKeys(value.ListOf(items...))
 	}
 	v = v.WithRank(m.GetRank())
+	if s := m.GetRegions(); len(s) > 0 {
+		items := make([]string, len(s))
+		for i := range s {
+			items[i] = s[i]
+		}
+		v = v.WithRegions(value.ListOf(items...))
+	}
 	return v
 }
 
@@ -143,6 +208,13 @@
 		m.SetKeys(items)
 	}
 	m.SetRank(v.Rank())
+	if v.Regions().Len() > 0 {
+		items := make([]string, 0, v.Regions().Len())
+		for x := range v.Regions().All() {
+			items = append(items, x)
+		}
+		m.SetRegions(items)
+	}
 	return m
 }
 
@@ -157,6 +229,8 @@
 	v = v.WithLeaving(m.GetLeaving())
 	v = v.WithColdMs(m.GetColdMs())
 	v = v.WithBorn(m.GetBorn())
+	v = v.WithRegion(m.GetRegion())
+	v = v.WithEvacuated(m.GetEvacuated())
 	return v
 }
 
@@ -171,6 +245,8 @@
 	m.SetLeaving(v.Leaving())
 	m.SetColdMs(v.ColdMs())
 	m.SetBorn(v.Born())
+	m.SetRegion(v.Region())
+	m.SetEvacuated(v.Evacuated())
 	return m
 }
 
@@ -217,6 +293,14 @@
 	v = v.WithDatacentre(m.GetDatacentre())
 	v = v.WithRetry(m.GetRetry())
 	v = v.WithFingerprint(m.GetFingerprint())
+	v = v.WithWorkspace(m.GetWorkspace())
+	if s := m.GetRegions(); len(s) > 0 {
+		items := make([]string, len(s))
+		for i := range s {
+			items[i] = s[i]
+		}
+		v = v.WithRegions(value.ListOf(items...))
+	}
 	return v
 }
 
@@ -247,6 +331,14 @@
 	m.SetDatacentre(v.Datacentre())
 	m.SetRetry(v.Retry())
 	m.SetFingerprint(v.Fingerprint())
+	m.SetWorkspace(v.Workspace())
+	if v.Regions().Len() > 0 {
+		items := make([]string, 0, v.Regions().Len())
+		for x := range v.Regions().All() {
+			items = append(items, x)
+		}
+		m.SetRegions(items)
+	}
 	return m
 }
 
@@ -293,6 +385,7 @@
 	v = v.WithLoad(m.GetLoad())
 	v = v.WithMovedStatus(m.GetMovedStatus())
 	v = v.WithLeaving(m.GetLeaving())
+	v = v.WithCold(m.GetCold())
 	return v
 }
 
@@ -319,5 +412,6 @@
 	m.SetLoad(v.Load())
 	m.SetMovedStatus(v.MovedStatus())
 	m.SetLeaving(v.Leaving())
+	m.SetCold(v.Cold())
 	return m
 }
