--- a/feed/follower.go
+++ b/feed/follower.go
@@ -244,7 +244,7 @@
 			f.Log.Write(event.ServerListed, logrus.Fields{"server": b.Id(), "service": b.Service(), "address": b.Address(), "leaving": b.Leaving(), "revision": r.Revision()})
 		case value.FeedGone:
 			f.Log.Write(event.ServerGone, logrus.Fields{"key": r.Key(), "revision": r.Revision()})
-		case value.RouteTable, value.FeedOther:
+		case value.RouteTable, value.Evacuation, value.FeedOther:
 		}
 	}
 }
--- a/feed/state.go
+++ b/feed/state.go
@@ -157,7 +157,7 @@
 		}
 	case value.FeedUnreadable:
 		delete(s.entries, r.Key())
-	case value.FeedOther:
+	case value.Evacuation, value.FeedOther:
 	}
 	return s
 }
