assign: Limit the rate of requests to cold servers

Cause: a server that comes back is the least loaded one, and gets the whole demand at once. Change: the state keeps for each server how long it counts as cold, from the event on, and the times of the last grants. The remaining cold time counts down in the cost of a choice. Limits reach the state by an event; without one, it behaves as before. The scripts and the property test fail without the limit.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -109,8 +109,7 @@
 	case "tick":
 		return assign.Ticked{}
 	default:
-		Fail("unknown verb " + l.Verb)
-		return nil
+		return decodeCold(l)
 	}
 }
 
@@ -123,6 +122,8 @@
 		return fmt.Sprintf("reject %d after=%d %s", e.ID, e.After, e.Reason)
 	case assign.Queued:
 		return fmt.Sprintf("queued %d", e.ID)
+	case assign.TakenCold:
+		return fmt.Sprintf("cold %s for=%d %s", e.Server.Id(), e.Left, e.Reason)
 	default:
 		return "unknown"
 	}
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -15,11 +15,11 @@
 	for pass := range 2 {
 		for i := range s.servers.Len() {
 			x := s.servers.At(i)
-			if (x.backoffUntil > now) != (pass == 1) || !available(x, w, now) {
+			if (x.backoffUntil > now) != (pass == 1) || !available(x, w, s.coldLimits, now) {
 				continue
 			}
 			uncached, recomputed := s.uncached(w, x, now)
-			if c := cost(x, w, uncached, recomputed, now); c < lowestCost {
+			if c := cost(x, w, uncached, recomputed, now) + s.coldCost(x, now); c < lowestCost {
 				best, estimate, lowestCost = i, Estimate{UncachedTokens: uncached, PendingTokens: x.pendingTokens(), Running: x.runs.Len()}, c
 			}
 		}
@@ -52,7 +52,7 @@
 	return uncached, recomputed
 }
 
-// cost returns the estimated cost of running the request at the server, in milliseconds.
+// cost returns the estimated cost of running the request at the server, in milliseconds, without that of its cold time.
 func cost(x server, w value.Work, uncached, recomputed int32, now hoist.Millis) float64 {
 	c := float64(x.runs.Len())
 	slowness := x.slowness(now)
@@ -69,5 +69,5 @@
 	if x.entry.Datacentre() != w.Datacentre() {
 		c += remoteCostMs
 	}
-	return c + float64(x.entry.ColdMs()>>coldStartShift)
+	return c
 }
--- a/assign/eligible.go
+++ b/assign/eligible.go
@@ -10,10 +10,10 @@
 	return !x.entry.Leaving() && !avoided(w, x.entry.Id())
 }
 
-// available reports whether the server may run the request now. A server that is backed off is available; choose prefers
-// others.
-func available(x server, w value.Work, now hoist.Millis) bool {
-	return eligible(x, w) && admits(x, w) && x.pausedUntil(w.Origin()) <= now
+// available reports whether the server may run the request now, within the limits on cold servers. A server that is backed
+// off is available; choose prefers others.
+func available(x server, w value.Work, l ColdLimits, now hoist.Millis) bool {
+	return eligible(x, w) && admits(x, w) && x.pausedUntil(w.Origin()) <= now && l.allow(x, now)
 }
 
 // availableBefore reports whether the server may run the request at some time before the given one.
--- a/assign/event.go
+++ b/assign/event.go
@@ -37,6 +37,9 @@
 // ServersUpdated replaces the list of servers of the service.
 type ServersUpdated struct {
 	Servers value.List[value.BackendServer]
+	// Kept holds the IDs of the servers that the instance knew before with the same start time; such a server may be new to
+	// the state, because it was moved from another shard.
+	Kept map[string]bool
 }
 
 // Placed reports a request that runs at a server although this state did not grant it.
@@ -69,6 +72,18 @@
 // RetryLimitsChanged reports new limits of the retries that the state may grant.
 type RetryLimitsChanged struct{ Limits RetryLimits }
 
+// ColdReported reports that a response of a server has stated how long it stays cold.
+type ColdReported struct {
+	Server string
+	Left   hoist.Millis
+}
+
+// DownReported reports that a server has refused a connection or has crashed, so that it starts anew before it serves again.
+type DownReported struct{ Server string }
+
+// ColdLimitsChanged reports new limits on the grants to servers that may be cold.
+type ColdLimitsChanged struct{ Limits ColdLimits }
+
 // Ticked reports that time has passed.
 type Ticked struct{}
 
@@ -83,6 +98,9 @@
 func (LeavingReported) isEvent()    {}
 func (Paused) isEvent()             {}
 func (RetryLimitsChanged) isEvent() {}
+func (ColdReported) isEvent()       {}
+func (DownReported) isEvent()       {}
+func (ColdLimitsChanged) isEvent()  {}
 func (Ticked) isEvent()             {}
 
 // Result is how a request ended at its server.
@@ -144,9 +162,18 @@
 	Origin string
 }
 
-func (Queued) isEffect() {}
-func (Grant) isEffect()  {}
-func (Refuse) isEffect() {}
+// TakenCold reports that a server is taken as cold from now on.
+type TakenCold struct {
+	Server value.BackendServer
+	Reason ColdReason
+	// Left is the time for which it stays cold.
+	Left hoist.Millis
+}
+
+func (Queued) isEffect()    {}
+func (Grant) isEffect()     {}
+func (Refuse) isEffect()    {}
+func (TakenCold) isEffect() {}
 
 // Reason is why a request was rejected.
 type Reason int
--- a/assign/server.go
+++ b/assign/server.go
@@ -37,6 +37,9 @@
 	assignedAt     hoist.Millis
 	// leaving is set if a response of the server said so.
 	leaving bool
+	// cold is how long the server counts as cold, grants are the last grants to it.
+	cold   coldState
+	grants grantLog
 	// pauses are the instances from which the server wants no requests for a time.
 	pauses value.List[pause]
 }
--- a/assign/state.go
+++ b/assign/state.go
@@ -18,6 +18,11 @@
 	// retryBudget holds the retries that the state may still grant.
 	retryBudget retry.Bucket
 	retryLimits RetryLimits
+	coldLimits  ColdLimits
+	// learned is set once the state has had servers.
+	learned bool
+	// heldBack is the number of queued requests that only the limits on cold servers hold back.
+	heldBack int
 }
 
 // New returns the state of a shard without servers.
@@ -109,7 +114,7 @@
 		s = s.withoutWaiting(e.ID)
 	case Responded:
 		s = s.withServerOf(e.ID, func(x server) server {
-			x = x.withResponse(e.ID)
+			x = x.withFirstResponse(e.ID, s.coldLimits, now).withResponse(e.ID)
 			if e.Loaded {
 				x = x.withLoad(e.Load, now)
 			}
@@ -118,7 +123,7 @@
 	case Finished:
 		s = s.withServerOf(e.ID, func(x server) server { return x.withoutRun(e.ID).withResult(e.Result, now) })
 	case ServersUpdated:
-		s = s.withServers(e.Servers)
+		s, effects = s.withServers(e, now).withTakenCold(s, now)
 	case Placed:
 		s = s.withReportedRun(e.Run, e.By, now)
 	case RunsReported:
@@ -131,6 +136,12 @@
 		s = s.withServer(e.Server, func(x server) server { return x.withPause(e.Origin, e.Until, now) })
 	case RetryLimitsChanged:
 		s = s.withRetryLimits(e.Limits)
+	case ColdReported:
+		s, effects = s.withColdReported(e, now).withTakenCold(s, now)
+	case DownReported:
+		s, effects = s.withDown(e.Server, now).withTakenCold(s, now)
+	case ColdLimitsChanged:
+		s.coldLimits = e.Limits
 	case Ticked:
 	}
 	s, more := s.schedule(now)
@@ -218,17 +229,18 @@
 }
 
 // withServers returns a copy with the servers of the list. The state of a server is kept unless the server was
-// restarted or has moved to another address.
-func (s State) withServers(l value.List[value.BackendServer]) State {
+// restarted or has moved to another address; its grants always count.
+func (s State) withServers(u ServersUpdated, now hoist.Millis) State {
 	known := map[string]server{}
 	for x := range s.servers.All() {
 		known[x.entry.Id()] = x
 	}
 	var servers []server
-	for e := range l.All() {
+	for e := range u.Servers.All() {
 		x, ok := known[e.Id()]
+		x.cold = s.coldAfter(x, ok, e, u, now)
 		if !ok || x.entry.Born() != e.Born() || x.entry.Address() != e.Address() {
-			x = server{}
+			x = server{cold: x.cold, grants: x.grants}
 		}
 		x.entry = e
 		if x.leaving {
@@ -236,7 +248,7 @@
 		}
 		servers = append(servers, x)
 	}
-	s.servers = value.ListOf(servers...)
+	s.servers, s.learned = value.ListOf(servers...), s.learned || len(servers) > 0
 	return s
 }
 
@@ -256,7 +268,7 @@
 // except the last one.
 func (s State) withPlaced(at int, r run, now hoist.Millis) State {
 	x := s.servers.At(at)
-	s.servers = s.servers.With(at, x.withRun(r))
+	s.servers = s.servers.With(at, x.withRun(r).withGrant(r, s.coldLimits))
 	for i := range r.work.Parts().Len() - 1 {
 		s.cache = s.cache.with(r.work.Parts().At(i).Id(), x.entry.Id(), now)
 	}
@@ -300,6 +312,7 @@
 // schedule grants servers to queued requests and rejects those that cannot run before their deadline.
 func (s State) schedule(now hoist.Millis) (State, []Effect) {
 	var effects []Effect
+	s.heldBack = 0
 	for i := 0; i < s.waiting.Len(); {
 		w := s.waiting.At(i)
 		at, basis := s.choose(w, now)
@@ -310,6 +323,9 @@
 		case now >= queueDeadline(w) || !s.hasUsableServer(w):
 			effects = append(effects, Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), s.rejectReason(w)})
 		default:
+			if s.isHeldBack(w, now) {
+				s.heldBack++
+			}
 			i++
 			continue
 		}
