relay: Report cold servers to the owner of their shard

Cause: the owner of a shard learns that a server has become cold only from its entry, up to 2 s late. Change: an instance reports a stated cold time, a refused connection and a confirmed crash. The limits follow from the settings, the services of the route table and the live instances. Servers that move to another shard are not taken as new.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/assign"
@@ -54,6 +55,9 @@
 func (j *job) exchange(ctx context.Context, id uint64, s value.BackendServer) (Outcome, error) {
 	resp, err := j.Client.Do(ctx, s.Address(), j.serverRequest(s))
 	if err != nil {
+		if errors.Is(err, unix.ECONNREFUSED) {
+			j.dispatcher.down(s)
+		}
 		return j.failureOutcome(ctx, err), err
 	}
 	j.readNotices(s, resp)
@@ -73,6 +77,7 @@
 	if resp.Status == int(j.Dialect.MovedStatus()) {
 		return
 	}
+	j.readCold(s, resp)
 	if text := resp.Header.Get(j.Dialect.Leaving()); text != "" && text != "0" {
 		j.dispatcher.leaving(s)
 	}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -59,9 +59,10 @@
 	done    <-chan struct{}
 	// ownerBackoffUntil is the time until which the owner gets no placement requests.
 	ownerBackoffUntil atomic.Int64
-	// retryLimits are the limits last passed to the state; limitsMu guards them.
+	// retryLimits and coldLimits are the limits last passed to the state; limitsMu guards them.
 	limitsMu    sync.Mutex
 	retryLimits assign.RetryLimits
+	coldLimits  assign.ColdLimits
 }
 
 // run processes events until the dispatcher is stopped.
@@ -113,6 +114,9 @@
 	case assign.Queued:
 		origin = x.Origin
 		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictQueued)
+	case assign.TakenCold:
+		d.logCold(x)
+		return
 	}
 	if origin != d.self {
 		d.mesh.SendTo(origin, a)
@@ -322,6 +326,7 @@
 
 // crashed reports that a server crashed while it ran the contents to the guard and to the owner of the shard.
 func (d *dispatcher) crashed(s value.BackendServer, contents []value.Content) {
+	d.down(s)
 	contents = d.guard.withCompletions(contents)
 	d.chargeCrash(s.Id(), s.Born(), contents)
 	if owner, ok := d.remoteOwner(d.clock.Now()); ok {
@@ -355,11 +360,17 @@
 			d.post(assign.LeavingReported{Server: b.Server()})
 		case value.PlaceChangePaused:
 			d.post(assign.Paused{Server: b.Server(), Origin: sender, Until: now + hoist.Millis(b.PauseMs())})
+		case value.PlaceChangeCold:
+			d.post(assign.ColdReported{Server: b.Server(), Left: min(hoist.Millis(b.ColdMs()), maxColdStatement)})
+		case value.PlaceChangeDown:
+			d.post(assign.DownReported{Server: b.Server()})
 		default:
 			d.post(assign.Cancelled{ID: b.Id()})
 			d.post(assign.Finished{ID: b.Id(), Result: assign.ResultCancelled})
 		}
 	case value.PlaceCrash:
+		// The note that the server is down may be lost.
+		d.post(assign.DownReported{Server: b.Server()})
 		d.chargeCrash(b.Server(), b.Born(), slices.Collect(b.Contents().All()))
 	case value.PlaceHolding:
 		d.post(assign.RunsReported{Origin: sender, Granted: b.Granted(), Runs: b.Runs()})
--- a/relay/service.go
+++ b/relay/service.go
@@ -22,6 +22,8 @@
 // service is one service with the dispatchers of its shards.
 type service struct {
 	dispatchers []*dispatcher
+	// spec is what the configuration says about the servers.
+	spec value.ServiceSpec
 	// active is the number of dispatchers that get new requests. The others are of a time when the service had more servers;
 	// requests may wait there.
 	active int
@@ -34,7 +36,7 @@
 func shardIndex(id string, n int) int { return int(xxhash.Sum64String(id) % uint64(n)) }
 
 // Follow applies a new store view; it must be called from one goroutine only.
-func (r *Relay) Follow(_, v *feed.View) {
+func (r *Relay) Follow(old, v *feed.View) {
 	servers := map[string][]value.BackendServer{}
 	addresses := map[string]bool{}
 	for s := range v.Servers.All() {
@@ -51,7 +53,16 @@
 	}
 	// A service without a route is followed too, because its requests may wait, or be sent again after a server has failed.
 	for n, s := range next {
-		next[n] = r.withShards(n, s, servers[n])
+		var spec value.ServiceSpec
+		if v.Table != nil {
+			spec = v.Table.Spec(n)
+		}
+		u := assign.ServersUpdated{Servers: value.ListOf(servers[n]...)}
+		if s != nil && s.active != shardCount(len(servers[n])) {
+			// Servers move to other shards.
+			u.Kept = keptServers(old, v)
+		}
+		next[n] = r.withShards(n, s, spec, u)
 	}
 	r.services.Store(&next)
 	hoist.Update(&r.notices, func(n assign.Notices) assign.Notices { return n.Retained(v.Servers) })
@@ -60,30 +71,32 @@
 
 // withShards returns the service with its servers divided among its shards. It keeps the dispatchers of the old service,
 // which may be nil.
-func (r *Relay) withShards(name string, old *service, servers []value.BackendServer) *service {
-	s := &service{active: shardCount(len(servers))}
+func (r *Relay) withShards(name string, old *service, spec value.ServiceSpec, u assign.ServersUpdated) *service {
+	s := &service{active: shardCount(u.Servers.Len()), spec: spec}
 	if old != nil {
 		s.dispatchers = slices.Clone(old.dispatchers)
 	}
 	for i := len(s.dispatchers); i < s.active; i++ {
 		s.dispatchers = append(s.dispatchers, r.newDispatcher(fmt.Sprintf("%s/%d", name, i)))
 	}
-	lists := divide(servers, s.active)
+	// A state needs the limits to tell how long a server that it has not known stays cold.
+	r.limitCold(s)
+	lists := divide(u.Servers, s.active)
 	// The servers of an inactive shard are also in an active one.
 	if n := len(s.dispatchers); n > s.active {
-		lists = append(lists, divide(servers, n)[s.active:]...)
+		lists = append(lists, divide(u.Servers, n)[s.active:]...)
 	}
 	for i, d := range s.dispatchers {
-		d.post(assign.ServersUpdated{Servers: value.ListOf(lists[i]...)})
+		d.post(assign.ServersUpdated{Servers: value.ListOf(lists[i]...), Kept: u.Kept})
 	}
 	r.limitRetries(s)
 	return s
 }
 
 // divide divides the servers among n shards.
-func divide(servers []value.BackendServer, n int) [][]value.BackendServer {
+func divide(servers value.List[value.BackendServer], n int) [][]value.BackendServer {
 	lists := make([][]value.BackendServer, n)
-	for _, x := range servers {
+	for x := range servers.All() {
 		i := shardIndex(x.Id(), n)
 		lists[i] = append(lists[i], x)
 	}
@@ -167,6 +180,7 @@
 			}
 		}
 		r.limitRetries(s)
+		r.limitCold(s)
 	}
 }
 
