assign: Let the cost of a server that is down count down

Cause: a server that is down stays cold until its next response, and its cost stayed at the whole cold start; while other servers have room, no request would show that it is back. Change: the cost counts down from the refused connection, the limit of the rate stays.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -138,6 +138,9 @@
 			ids, others := s.Holding(l.Text("from"), l.Text("owner"), hoist.Millis(l.Int("at")))
 			return fmt.Sprintf("granted=%d others=%d", ids.Len(), others.Len())
 		}
+		if l.Verb == "cold-for" {
+			return fmt.Sprintf("cold for=%d", s.ColdFor(l.Text("server"), hoist.Millis(l.Int("at"))))
+		}
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
 		var out strings.Builder
--- a/assign/cold.go
+++ b/assign/cold.go
@@ -98,9 +98,9 @@
 }
 
 // withDown returns a copy of a server that has refused a connection or has crashed.
-func (c coldState) withDown(now hoist.Millis) coldState {
-	c = c.begun(ColdDown, now)
-	c.down, c.downAt, c.measured = true, now, false
+func (c coldState) withDown(start, now hoist.Millis) coldState {
+	c = c.withEvent(start, now, ColdDown)
+	c.down, c.downAt = true, now
 	return c
 }
 
@@ -153,7 +153,7 @@
 // withDown returns a copy in which the server has refused a connection or has crashed.
 func (s State) withDown(id string, now hoist.Millis) State {
 	return s.withServer(id, func(x server) server {
-		x.cold = x.cold.withDown(now)
+		x.cold = x.cold.withDown(s.coldLimits.Start, now)
 		return x
 	})
 }
@@ -167,11 +167,12 @@
 	return s
 }
 
-// coldCost returns the cost of the remaining cold time of the server, in milliseconds.
+// coldCost returns the cost of the remaining cold time of the server, in milliseconds. That of a server that is down counts
+// down too: it would get no request that shows that it is back while others have room.
 func (s State) coldCost(x server, now hoist.Millis) float64 {
 	left := hoist.Millis(x.entry.ColdMs())
 	if s.coldLimits.Enforced {
-		left = x.cold.remaining(s.coldLimits.Start, now)
+		left = max(x.cold.until-now, 0)
 	}
 	return float64(left >> coldStartShift)
 }
