--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -109,8 +109,7 @@
 	case "tick":
 		return assign.Ticked{}
 	default:
-		Fail("unknown verb " + l.Verb)
-		return nil
+		return decodeCold(l)
 	}
 }
 
@@ -123,6 +122,8 @@
 		return fmt.Sprintf("reject %d after=%d %s", e.ID, e.After, e.Reason)
 	case assign.Queued:
 		return fmt.Sprintf("queued %d", e.ID)
+	case assign.TakenCold:
+		return fmt.Sprintf("cold %s for=%d %s", e.Server.Id(), e.Left, e.Reason)
 	default:
 		return "unknown"
 	}
@@ -137,6 +138,9 @@
 			ids, others := s.Holding(l.Text("from"), l.Text("owner"), hoist.Millis(l.Int("at")))
 			return fmt.Sprintf("granted=%d others=%d", ids.Len(), others.Len())
 		}
+		if l.Verb == "cold-for" {
+			return fmt.Sprintf("cold for=%d", s.ColdFor(l.Text("server"), hoist.Millis(l.Int("at"))))
+		}
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
 		var out strings.Builder
