feed: Take a removal for a lapse only after an outage that lapses entries

Cause: any failed request to the store, also one watch whose connection was reset, counted as an outage; a removal within two seconds of it was taken for the lapse of a running server's entry, and the server stayed in use for 2,111 to 2,156 ms. Change: one decision, mayHaveLapsed, says whether the store may be wrong. It takes an outage of at least 1,200 ms, in which a running server misses more than one write of its entry; a request without any response within its time counts from when it was sent. Result: the golden case failed-request keeps no removed server after one or several quick failures, and keeps one after a silent request. With any failure counted as an outage, as before, the case fails.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -51,7 +51,11 @@
 }
 
 // Failed means that a request got no response, or that no other instance has current content.
-type Failed struct{}
+type Failed struct {
+	// Since is the time from which the store may have been unreachable, or zero if that is now: a request without any response
+	// within its time tells nothing of the store since it was sent.
+	Since hoist.Millis
+}
 
 // Ticked means that time has passed.
 type Ticked struct{}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -154,7 +154,7 @@
 		defer cancel()
 		c, err := f.Source.List(ctx)
 		if err != nil {
-			return Failed{}, err
+			return failure(err, requestedAt), err
 		}
 		f.listed = true
 		return Listed{Changes: c, RequestedAt: requestedAt}, nil
@@ -167,11 +167,19 @@
 		return Ticked{}, err
 	}
 	if err != nil {
-		return Failed{}, err
+		return failure(err, requestedAt), err
 	}
 	return Changed{Changes: c, RequestedAt: requestedAt}, nil
 }
 
+// failure returns the event of a request to the store that was sent at requestedAt and failed.
+func failure(err error, requestedAt hoist.Millis) Failed {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Failed{Since: requestedAt}
+	}
+	return Failed{}
+}
+
 // logReachability logs the first failure of the store or of the instances that read it, and the recovery.
 func (f *Follower) logReachability(err error) {
 	switch {
--- a/feed/state.go
+++ b/feed/state.go
@@ -9,13 +9,8 @@
 	"chicoryhoist.example/hoist/value"
 )
 
-const (
-	// lapseGraceTime is the time for which a server is still used if its entry disappeared while the store was unreachable; a
-	// running server writes its entry again within two seconds.
-	lapseGraceTime = 2 * hoist.Second
-	// maxRemovedKeys limits the removed keys whose revision is stored to reject older records.
-	maxRemovedKeys = 1024
-)
+// maxRemovedKeys limits the removed keys whose revision is stored to reject older records.
+const maxRemovedKeys = 1024
 
 // View is an immutable snapshot of the store as known to one process.
 type View struct {
@@ -50,8 +45,10 @@
 	removedRevisions map[string]int64
 	revision         int64
 	confirmedAt      hoist.Millis
-	// unreachable is set while requests fail; reachableSince is the time of the first response after that.
-	unreachable    bool
+	// unreachable is set while requests fail, unreachableSince is the time from which the store may have been unreachable.
+	unreachable      bool
+	unreachableSince hoist.Millis
+	// reachableSince is the time of the first response after an outage in which entries may have lapsed, or zero.
 	reachableSince hoist.Millis
 }
 
@@ -100,7 +97,7 @@
 		s = s.confirmed(e.RequestedAt, e.ReachableSince, now)
 		s = s.withRecords(e.Changes, now)
 	case Failed:
-		s.unreachable = true
+		s = s.failed(e.Since, now)
 	case Ticked:
 	}
 	return s.withoutLapsed(now)
@@ -108,9 +105,7 @@
 
 // confirmed returns a copy after a response of the store or of a reader that knows of the store's return.
 func (s State) confirmed(requestedAt, reachableSince, now hoist.Millis) State {
-	if s.unreachable {
-		s.unreachable, s.reachableSince = false, now
-	}
+	s = s.recovered(now)
 	s.reachableSince = max(s.reachableSince, reachableSince)
 	s.confirmedAt = max(s.confirmedAt, requestedAt)
 	return s
@@ -162,11 +157,10 @@
 	return s
 }
 
-// removeEntry removes an entry from the copied maps. It marks the entry as lapsed instead if the store became reachable
-// again less than lapseGraceTime ago and the server is not leaving.
+// removeEntry removes an entry from the copied maps. It marks the entry as lapsed instead if the store may be wrong.
 func (s State) removeEntry(key string, revision int64, now hoist.Millis) {
 	e := s.entries[key]
-	if now-s.reachableSince < lapseGraceTime && s.reachableSince > 0 && !e.server.Leaving() {
+	if s.mayHaveLapsed(e, now) {
 		if e.lapsedAt == 0 {
 			e.lapsedAt = s.reachableSince
 		}
--- a/feed/state_test.go
+++ b/feed/state_test.go
@@ -75,7 +75,7 @@
 		case "changed":
 			e = feed.Changed{Changes: changes, RequestedAt: asked, ReachableSince: hoist.Millis(l.Int("back"))}
 		case "failed":
-			e = feed.Failed{}
+			e = feed.Failed{Since: hoist.Millis(l.Int("since"))}
 		case "ticked":
 			e = feed.Ticked{}
 		default:
