feed: Follow evacuations and set the regions of servers

Cause: nothing read the order to evacuate a data centre. Change: the state keeps evacuations by key with their revisions, as it keeps servers; the newest revision counts in whichever order records arrive, a removal that comes before its key included, and a list decides after a compaction. The view marks the servers of evacuated data centres and gives each server the region of its data centre. The complete content for other instances holds the evacuations. Events 610 and 611 say when one is in force and when it ends.

--- a/event/catalog.go
+++ b/event/catalog.go
@@ -71,16 +71,18 @@
 
 // Events of the store that a forwarding router reads.
 var (
-	StoreUnreachable = Code{600, logrus.WarnLevel, "store cannot be read; what is known of it stays in use", "Check the store and the network if it persists; requests with a key are rejected once the view of the store exceeds its age limit."}
-	StoreRecovered   = Code{601, logrus.InfoLevel, "store can be read again", "None."}
-	StoreCompacted   = Code{602, logrus.InfoLevel, "store has compacted its history; all keys are listed again", "None."}
-	RoutesInForce    = Code{603, logrus.InfoLevel, "route table is in force", "None."}
-	EntryUnreadable  = Code{604, logrus.WarnLevel, "entry of the store cannot be read and is ignored", "Find the process that writes the key."}
-	ServerListed     = Code{605, logrus.InfoLevel, "backend server is listed", "None."}
-	ServerGone       = Code{606, logrus.InfoLevel, "entry of a backend server was removed", "None."}
-	SettingsChecked  = Code{607, logrus.InfoLevel, "settings file was read again and is valid; changes take effect at the next start", "None."}
-	SettingsRejected = Code{608, logrus.ErrorLevel, "settings are invalid; the previous ones stay in force", "Check the findings and correct the file."}
-	LogDropped       = Code{609, logrus.WarnLevel, "log lines were dropped because the output was too slow", "Check the reader of standard output."}
+	StoreUnreachable  = Code{600, logrus.WarnLevel, "store cannot be read; what is known of it stays in use", "Check the store and the network if it persists; requests with a key are rejected once the view of the store exceeds its age limit."}
+	StoreRecovered    = Code{601, logrus.InfoLevel, "store can be read again", "None."}
+	StoreCompacted    = Code{602, logrus.InfoLevel, "store has compacted its history; all keys are listed again", "None."}
+	RoutesInForce     = Code{603, logrus.InfoLevel, "route table is in force", "None."}
+	EntryUnreadable   = Code{604, logrus.WarnLevel, "entry of the store cannot be read and is ignored", "Find the process that writes the key."}
+	ServerListed      = Code{605, logrus.InfoLevel, "backend server is listed", "None."}
+	ServerGone        = Code{606, logrus.InfoLevel, "entry of a backend server was removed", "None."}
+	SettingsChecked   = Code{607, logrus.InfoLevel, "settings file was read again and is valid; changes take effect at the next start", "None."}
+	SettingsRejected  = Code{608, logrus.ErrorLevel, "settings are invalid; the previous ones stay in force", "Check the findings and correct the file."}
+	LogDropped        = Code{609, logrus.WarnLevel, "log lines were dropped because the output was too slow", "Check the reader of standard output."}
+	EvacuationInForce = Code{610, logrus.WarnLevel, "data centre is evacuated; its backend servers get no new requests", "Stop what remains there once forward_evacuated is 0 on all instances; remove the key to end the evacuation."}
+	EvacuationEnded   = Code{611, logrus.InfoLevel, "evacuation of a data centre has ended; its backend servers get requests again", "None."}
 )
 
 // Events of the messages between forwarding routers.
@@ -116,7 +118,7 @@
 		Joined, RouterUnreachable, Leaving, ShardOwned, ShardReleased, OwnerUnreachable, ViewFresh, NameReused,
 		ServerOnProbation, Recovered, ServerCrashed, ContentQuarantined, Ordered, OrderFenced, OrderFailed,
 		ForeignFrame, OperatorDenied,
-		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
+		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped, EvacuationInForce, EvacuationEnded,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
 		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused,
 		InvariantViolated,
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -49,6 +49,9 @@
 	StartPatience hoist.Millis
 	// Mesh carries messages to other instances; it is nil if there are none.
 	Mesh Mesh
+	// Regions are the regions of the data centres, and Home is the region of all of them if there are none.
+	Regions map[string]string
+	Home    string
 }
 
 // Follower keeps the view of one process current in a single goroutine.
@@ -82,7 +85,7 @@
 
 // NewFollower returns a follower of the source.
 func NewFollower(o Options) *Follower {
-	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silences: map[string]silence{}, hasTable: make(chan struct{})}
+	f := &Follower{Options: o, state: NewState().WithRegions(o.Regions, o.Home), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silences: map[string]silence{}, hasTable: make(chan struct{})}
 	f.published.Store(&snapshot{view: f.state.View()})
 	f.readerRequests.hint = make(chan struct{}, 1)
 	return f
@@ -209,7 +212,7 @@
 		next = next.withHistory(e.Changes.Records)
 	case Failed, Ticked:
 	}
-	f.logChanges(e, old.view, next.view)
+	f.logChanges(e, old, next.view)
 	// OnView comes first, so that readers of the new view find its consequences in place.
 	f.OnView(old.view, next.view)
 	f.published.Store(next)
@@ -232,10 +235,12 @@
 }
 
 // logChanges logs the changes of an event.
-func (f *Follower) logChanges(e Event, old, v *View) {
+func (f *Follower) logChanges(e Event, before *snapshot, v *View) {
+	old := before.view
 	if v.Table != nil && (old.Table == nil || old.Table.Version() != v.Table.Version()) {
 		f.Log.Write(event.RoutesInForce, logrus.Fields{"version": v.Table.Version(), "revision": f.state.Revision(), "age_ms": v.Age(f.Clock.Now())})
 	}
+	f.logEvacuations(old, v)
 	var c Changes
 	switch e := e.(type) {
 	case Listed:
@@ -251,7 +256,9 @@
 		case value.BackendServer:
 			f.Log.Write(event.ServerListed, logrus.Fields{"server": b.Id(), "service": b.Service(), "address": b.Address(), "leaving": b.Leaving(), "revision": r.Revision()})
 		case value.FeedGone:
-			f.Log.Write(event.ServerGone, logrus.Fields{"key": r.Key(), "revision": r.Revision()})
+			if _, ended := before.state.evacuations[r.Key()]; !ended {
+				f.Log.Write(event.ServerGone, logrus.Fields{"key": r.Key(), "revision": r.Revision()})
+			}
 		case value.RouteTable, value.Evacuation, value.FeedOther:
 		}
 	}
--- a/feed/state.go
+++ b/feed/state.go
@@ -18,9 +18,15 @@
 	Table *route.Table
 	// Servers are the backend servers that may be used, ordered by id.
 	Servers value.List[value.BackendServer]
+	// Evacuated are the evacuated data centres, sorted.
+	Evacuated value.List[string]
 	// ConfirmedAt is the time as of which the content is known to be current: when the request was sent whose response
 	// contains it.
 	ConfirmedAt hoist.Millis
+
+	// regions are those of the data centres, homeRegion is the region of all of them if there are none.
+	regions    map[string]string
+	homeRegion string
 }
 
 // Age returns the time since ConfirmedAt.
@@ -41,6 +47,7 @@
 	// tableRecord is the record that contains the table.
 	tableRecord value.FeedRecord
 	entries     map[string]entry
+	evacuations map[string]evacuation
 	// removedRevisions holds the revisions at which keys were removed.
 	removedRevisions map[string]int64
 	revision         int64
@@ -50,11 +57,14 @@
 	unreachableSince hoist.Millis
 	// reachableSince is the time of the first response after an outage in which entries may have lapsed, or zero.
 	reachableSince hoist.Millis
+	// regions and homeRegion are those of the views.
+	regions    map[string]string
+	homeRegion string
 }
 
 // NewState returns the state before the first response.
 func NewState() State {
-	return State{entries: map[string]entry{}, removedRevisions: map[string]int64{}}
+	return State{entries: map[string]entry{}, evacuations: map[string]evacuation{}, removedRevisions: map[string]int64{}}
 }
 
 // Revision returns the revision from which the next watch continues.
@@ -62,11 +72,11 @@
 
 // View returns the content that may be used.
 func (s State) View() *View {
-	v := &View{Table: s.table, ConfirmedAt: s.confirmedAt}
+	v := &View{Table: s.table, ConfirmedAt: s.confirmedAt, Evacuated: s.evacuated(), regions: s.regions, homeRegion: s.homeRegion}
 	keys := slices.Sorted(maps.Keys(s.entries))
 	servers := make([]value.BackendServer, 0, len(keys))
 	for _, k := range keys {
-		servers = append(servers, s.entries[k].server)
+		servers = append(servers, v.Marked(s.entries[k].server))
 	}
 	v.Servers = value.ListOf(servers...)
 	return v
@@ -78,6 +88,10 @@
 	if s.table != nil {
 		records = append(records, s.tableRecord)
 	}
+	for _, k := range slices.Sorted(maps.Keys(s.evacuations)) {
+		e := s.evacuations[k]
+		records = append(records, value.FeedRecord{}.WithKey(k).WithRevision(e.revision).WithBody(value.Evacuation{}.WithDatacentre(e.datacentre)))
+	}
 	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
 		if e := s.entries[k]; e.lapsedAt == 0 {
 			records = append(records, value.FeedRecord{}.WithKey(k).WithRevision(e.revision).WithBody(e.server))
@@ -125,17 +139,23 @@
 	if len(c.Records) == 0 {
 		return s
 	}
-	s.entries, s.removedRevisions = maps.Clone(s.entries), maps.Clone(s.removedRevisions)
+	s = s.withCopiedMaps()
 	for _, r := range c.Records {
 		s = s.withRecord(r, now)
 	}
 	return s
 }
 
+// withCopiedMaps returns a copy whose maps may be changed.
+func (s State) withCopiedMaps() State {
+	s.entries, s.evacuations, s.removedRevisions = maps.Clone(s.entries), maps.Clone(s.evacuations), maps.Clone(s.removedRevisions)
+	return s
+}
+
 // withRecord applies one record to the maps, which the caller has copied.
 func (s State) withRecord(r value.FeedRecord, now hoist.Millis) State {
 	old, known := s.entries[r.Key()]
-	if r.Revision() < old.revision || r.Revision() < s.removedRevisions[r.Key()] {
+	if r.Revision() < max(old.revision, s.evacuations[r.Key()].revision) || r.Revision() < s.removedRevisions[r.Key()] {
 		return s
 	}
 	switch b := r.Body().(type) {
@@ -149,10 +169,15 @@
 	case value.FeedGone:
 		if known {
 			s.removeEntry(r.Key(), r.Revision(), now)
+		} else {
+			s.withoutEvacuation(r.Key(), r.Revision())
 		}
 	case value.FeedUnreadable:
 		delete(s.entries, r.Key())
-	case value.Evacuation, value.FeedOther:
+	case value.Evacuation:
+		s.evacuations[r.Key()] = evacuation{b.Datacentre(), r.Revision()}
+		delete(s.removedRevisions, r.Key())
+	case value.FeedOther:
 	}
 	return s
 }
@@ -168,24 +193,26 @@
 		return
 	}
 	delete(s.entries, key)
-	if len(s.removedRevisions) >= maxRemovedKeys {
-		clear(s.removedRevisions)
-	}
-	s.removedRevisions[key] = revision
+	s.recordRemoval(key, revision)
 }
 
-// withoutMissing returns a copy without the servers that are missing from a list.
+// withoutMissing returns a copy without the servers and evacuations that are missing from a list.
 func (s State) withoutMissing(c Changes, now hoist.Millis) State {
 	listed := map[string]bool{}
 	for _, r := range c.Records {
 		listed[r.Key()] = true
 	}
-	s.entries, s.removedRevisions = maps.Clone(s.entries), maps.Clone(s.removedRevisions)
+	s = s.withCopiedMaps()
 	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
 		if !listed[k] && s.entries[k].revision <= c.Revision {
 			s.removeEntry(k, c.Revision, now)
 		}
 	}
+	for k, e := range maps.Clone(s.evacuations) {
+		if !listed[k] && e.revision <= c.Revision {
+			s.withoutEvacuation(k, c.Revision)
+		}
+	}
 	return s
 }
 
--- a/feed/state_test.go
+++ b/feed/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -20,7 +21,8 @@
 	RunSpecs(t, "feed")
 }
 
-// records parses records of the form KEY:REVISION:BODY, in which the body is vN, ready, leaving, gone or bad.
+// records parses records of the form KEY:REVISION:BODY, in which the body is vN, ready, leaving, gone, bad, or
+// evacuated@DATACENTRE; a ready or leaving server may have a data centre as well.
 func records(fields []string) []value.FeedRecord {
 	var list []value.FeedRecord
 	for _, f := range fields {
@@ -38,7 +40,12 @@
 			Expect(err).NotTo(HaveOccurred())
 			r = r.WithBody(value.RouteTable{}.WithVersion(n))
 		default:
-			r = r.WithBody(value.BackendServer{}.WithId(parts[0]).WithService("x").WithLeaving(parts[2] == "leaving"))
+			state, datacentre, _ := strings.Cut(parts[2], "@")
+			if state == "evacuated" {
+				r = r.WithBody(value.Evacuation{}.WithDatacentre(datacentre))
+				break
+			}
+			r = r.WithBody(value.BackendServer{}.WithId(parts[0]).WithService("x").WithDatacentre(datacentre).WithLeaving(state == "leaving"))
 		}
 		list = append(list, r)
 	}
@@ -57,12 +64,33 @@
 		if s.Leaving() {
 			name += "(leaving)"
 		}
+		if s.Region() != "" {
+			name += "/" + s.Region()
+		}
+		if s.Evacuated() {
+			name += "(evacuated)"
+		}
 		servers = append(servers, name)
 	}
-	return fmt.Sprintf("version=%s confirmed=%d servers=%s", version, v.ConfirmedAt, strings.Join(servers, ","))
+	text := fmt.Sprintf("version=%s confirmed=%d servers=%s", version, v.ConfirmedAt, strings.Join(servers, ","))
+	if v.Evacuated.Len() > 0 {
+		text += " evacuated=" + strings.Join(slices.Collect(v.Evacuated.All()), ",")
+	}
+	return text
+}
+
+// regions parses the regions of data centres of the form DATACENTRE:REGION.
+func regions(fields []string) map[string]string {
+	byDatacentre := map[string]string{}
+	for _, f := range fields {
+		datacentre, region, _ := strings.Cut(f, ":")
+		byDatacentre[datacentre] = region
+	}
+	return byDatacentre
 }
 
-// Guards against views that use a removed server, drop a running one, or go back to an older table or confirmation time.
+// Guards against views that use a removed server, drop a running one, or go back to an older table or confirmation time, and
+// against views that reopen an evacuated data centre, keep one closed whose evacuation has ended, or lose a region.
 var _ = DescribeTable("views", func(c golden.Case) {
 	s := feed.NewState()
 	Expect(golden.RunScript(c.Input, func(l golden.Line) string {
@@ -76,6 +104,12 @@
 			e = feed.Changed{Changes: changes, RequestedAt: asked, ReachableSince: hoist.Millis(l.Int("back"))}
 		case "failed":
 			e = feed.Failed{Since: hoist.Millis(l.Int("since"))}
+		case "regions":
+			s, e = s.WithRegions(regions(l.List("of")), l.Text("home")), feed.Ticked{}
+		case "joined":
+			// An instance that starts takes the whole content of this one.
+			changes = feed.Changes{Records: s.Records(), Revision: s.Revision()}
+			s, e = feed.NewState(), feed.Listed{Changes: changes, RequestedAt: asked}
 		case "ticked":
 			e = feed.Ticked{}
 		default:
