assign: Give requests no evacuated server and none outside their regions

Cause: a shard granted any server that was not leaving. Change: the conditions under which a server may get a request include its evacuation and the regions of the request. Result: golden cases evacuated and regions; both fail without the condition.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,12 +28,15 @@
 	return n
 }
 
-// servers parses servers of the form ID:DATACENTRE:SLOTS, with the suffix :leaving for a leaving server.
+// servers parses servers of the form ID:DATACENTRE:SLOTS, with the suffixes :leaving and :evacuated; a data centre may be
+// followed by its region, as in x@north.
 func servers(fields []string) value.List[value.BackendServer] {
 	var list []value.BackendServer
 	for _, f := range fields {
 		p := strings.Split(f, ":")
-		list = append(list, value.BackendServer{}.WithId(p[0]).WithDatacentre(p[1]).WithSlots(int32(number(p[2]))).WithLeaving(len(p) > 3))
+		datacentre, region, _ := strings.Cut(p[1], "@")
+		list = append(list, value.BackendServer{}.WithId(p[0]).WithDatacentre(datacentre).WithRegion(region).WithSlots(int32(number(p[2]))).
+			WithLeaving(slices.Contains(p[3:], "leaving")).WithEvacuated(slices.Contains(p[3:], "evacuated")))
 	}
 	return value.ListOf(list...)
 }
@@ -40,7 +44,8 @@
 // work parses the request of a line; prompt parts have the form ID:TOKENS.
 func work(l golden.Line) value.Work {
 	w := value.Work{}.WithId(uint64(l.Int("id"))).WithRank(int32(l.Int("rank"))).WithArrivedMs(l.Int("at")).WithTargetMs(250).
-		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x").WithRetry(l.Has("retry"))
+		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x").
+		WithRetry(l.Has("retry")).WithRegions(value.ListOf(l.List("regions")...))
 	if l.Has("end") {
 		w = w.WithEndMs(l.Int("end"))
 	}
@@ -128,8 +133,8 @@
 	}
 }
 
-// Guards against transitions that grant a leaving, failing or overloaded server while a better one is available, that
-// lose or duplicate a request, or that reject a request which could run.
+// Guards against transitions that grant a leaving, evacuated, failing or overloaded server while a better one is available, or
+// one outside the regions of the request, that lose or duplicate a request, or that reject a request which could run.
 var _ = DescribeTable("scripts", func(c golden.Case) {
 	s := assign.New()
 	Expect(golden.RunScript(c.Input, func(l golden.Line) string {
--- a/assign/eligible.go
+++ b/assign/eligible.go
@@ -7,7 +7,32 @@
 
 // eligible reports whether the server may ever run the request.
 func eligible(x server, w value.Work) bool {
-	return !x.entry.Leaving() && !avoided(w, x.entry.Id())
+	return !x.entry.Leaving() && Permitted(x.entry, w.Regions()) && !avoided(w, x.entry.Id())
+}
+
+// Permitted reports whether evacuations and the regions of a request, empty for all, permit it to run at the server. A server
+// whose region is unknown is in none of them.
+func Permitted(s value.BackendServer, regions value.List[string]) bool {
+	if s.Evacuated() {
+		return false
+	}
+	for r := range regions.All() {
+		if r == s.Region() {
+			return true
+		}
+	}
+	return regions.Len() == 0
+}
+
+// Permits reports whether any server of the shard may run a request of the regions, empty for all, as far as evacuations and
+// regions decide.
+func (s State) Permits(regions value.List[string]) bool {
+	for x := range s.servers.All() {
+		if Permitted(x.entry, regions) {
+			return true
+		}
+	}
+	return false
 }
 
 // available reports whether the server may run the request now. A server that is backed off is available; choose prefers
