relay: Check grants against evacuations and regions before sending

Cause: an instance sent to whatever server the owner of the shard had granted, and the owner may learn of an evacuation later than the sender. Change: each attempt, also a retry or a resumed stream, is checked by the view of the sending instance. A rejected grant is given back and placed again without a charge to the retry budget; the request avoids all servers that this instance excludes, so one more round suffices. The regions of a request are those that its route and its workspace both allow. A shard without a permitted server passes the request to another one that has some; a request for which no server is permitted is refused with 503 and the result excluded. The gauge forward_evacuated counts the requests of the instance that still run in evacuated data centres. The timeout of a watch follows from the shorter of revoke_ms and evacuate_ms.

--- a/assign/state.go
+++ b/assign/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"chicoryhoist.example/hoist"
@@ -60,6 +61,17 @@
 	return false
 }
 
+// Servers returns the listed servers.
+func (s State) Servers() iter.Seq[value.BackendServer] {
+	return func(yield func(value.BackendServer) bool) {
+		for x := range s.servers.All() {
+			if !yield(x.entry) {
+				return
+			}
+		}
+	}
+}
+
 // Server returns the listed server with the id.
 func (s State) Server(id string) (value.BackendServer, bool) {
 	for x := range s.servers.All() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -110,10 +110,30 @@
 	}
 	return feed.NewFollower(feed.Options{
 		StartPatience: patience, Source: o.Source, Clock: do.MustInvoke[hoist.Clock](i), Log: do.MustInvoke[*event.Log](i),
-		WatchTimeout: hoist.MillisOfFloat(o.Settings.Bounds().RevokeMs()) / watchDivisor, Mesh: do.MustInvoke[*mesh.Mesh](i),
+		WatchTimeout: watchTimeout(o.Settings.Bounds()), Mesh: do.MustInvoke[*mesh.Mesh](i),
+		Regions: regionsOf(o.Settings), Home: o.Settings.Region(),
 	}), nil
 }
 
+// watchTimeout returns the timeout of one watch, which follows from the shorter one of the times within which changes must be
+// in force.
+func watchTimeout(b value.ForwardBounds) hoist.Millis {
+	bound := b.RevokeMs()
+	if b.EvacuateMs() > 0 {
+		bound = min(bound, b.EvacuateMs())
+	}
+	return hoist.MillisOfFloat(bound) / watchDivisor
+}
+
+// regionsOf returns the regions of the data centres in the settings.
+func regionsOf(s value.ForwardSettings) map[string]string {
+	regions := map[string]string{}
+	for d := range s.Datacentres().All() {
+		regions[d.Name()] = d.Region()
+	}
+	return regions
+}
+
 // provideProcess returns the process and connects the components that refer to one another.
 func provideProcess(i do.Injector) (*Process, error) {
 	o, clock := do.MustInvoke[Options](i), do.MustInvoke[hoist.Clock](i)
@@ -161,6 +181,9 @@
 // exportMetrics registers the gauges whose values the components hold.
 func (p *Process) exportMetrics() {
 	p.metrics.Value("forward_active", "Requests in progress.", func() float64 { return float64(p.relay.Active()) })
+	p.metrics.Value("forward_evacuated", "Requests that run at backend servers of evacuated data centres.", func() float64 {
+		return float64(p.relay.ActiveEvacuated())
+	})
 	p.metrics.Value("store_calls", "Calls to the store.", func() float64 { return float64(p.follower.Requests.Load()) })
 	p.metrics.Value("store_failures", "Calls to the store without an answer.", func() float64 { return float64(p.follower.Failures.Load()) })
 	p.metrics.Value("store_age_seconds", "Age of the newest proof that the store shows nothing newer.", func() float64 {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -221,6 +221,8 @@
 		after = e.After
 	case relay.Overloaded:
 		after = e.After
+	case relay.Excluded:
+		after = e.After
 	case relay.Quarantined:
 		after = e.After
 	case relay.DeadlineExceeded:
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -81,7 +81,7 @@
 	SettingsChecked   = Code{607, logrus.InfoLevel, "settings file was read again and is valid; changes take effect at the next start", "None."}
 	SettingsRejected  = Code{608, logrus.ErrorLevel, "settings are invalid; the previous ones stay in force", "Check the findings and correct the file."}
 	LogDropped        = Code{609, logrus.WarnLevel, "log lines were dropped because the output was too slow", "Check the reader of standard output."}
-	EvacuationInForce = Code{610, logrus.WarnLevel, "data centre is evacuated; its backend servers get no new requests", "Stop what remains there once forward_evacuated is 0 on all instances; remove the key to end the evacuation."}
+	EvacuationInForce = Code{610, logrus.WarnLevel, "data centre is evacuated; its backend servers get no new requests", "Stop what remains there once hoist_forward_evacuated is 0 on all instances; remove the key to end the evacuation."}
 	EvacuationEnded   = Code{611, logrus.InfoLevel, "evacuation of a data centre has ended; its backend servers get requests again", "None."}
 )
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -61,8 +61,10 @@
 	guard   *guard
 	// notices is what servers have told this instance about themselves.
 	notices atomic.Pointer[assign.Notices]
-	nextID  atomic.Uint64
-	active  atomic.Int64
+	// runs counts the attempts of this instance by data centre.
+	runs   datacentreRuns
+	nextID atomic.Uint64
+	active atomic.Int64
 	// drain is the planned stop in progress, or nil.
 	drain atomic.Pointer[Drain]
 	// allRequests ends with endRequests.
@@ -112,6 +114,11 @@
 	serviceName string
 	progress    Progress
 	avoid       value.List[string]
+	// regions are those whose servers may run the request, empty for all; noRegion is set if there is none.
+	regions  value.List[string]
+	noRegion bool
+	// moved is set once the request was placed at another shard because its own had no permitted server.
+	moved bool
 	// attemptID is the ID of the last attempt.
 	attemptID uint64
 	// charged is set if the next attempt counts against the retry budget.
@@ -238,6 +245,7 @@
 func (j *job) apply(t *route.Table, r value.Route, h value.KeyHolder) {
 	j.route, j.workspace, j.rank = r, h, t.Rank(r, h)
 	j.serviceName = route.SelectService(r, j.request.ID)
+	j.restrict(r, h)
 	j.progress.Repeatable, j.progress.MaxRuns = route.Repeatable(r), max(int(r.Attempts()), 1)
 	if limit := hoist.Millis(r.TimeoutMs()); limit > 0 {
 		j.progress.Deadline = min(j.progress.Deadline, j.request.Arrived+limit)
@@ -250,7 +258,13 @@
 	if !ok {
 		return NotReady{}
 	}
+	if j.noRegion {
+		return Excluded{After: excludedRetryAfter}
+	}
 	j.dispatcher = s.dispatcherFor(j.request)
+	if j.view.Evacuated.Len() > 0 || j.regions.Len() > 0 {
+		j.dispatcher = s.permitting(j.dispatcher, j.regions)
+	}
 	return nil
 }
 
@@ -274,11 +288,13 @@
 	if _, revoked := e.(UnknownKey); revoked {
 		return e
 	}
-	if j.progress.Runs == 0 {
-		if e != nil {
-			return e
-		}
+	switch {
+	case j.progress.Runs == 0 && e != nil:
+		return e
+	case j.progress.Runs == 0:
 		j.apply(j.view.Table, r, h)
+	case e == nil:
+		j.restrict(r, h)
 	}
 	return j.selectDispatcher()
 }
@@ -295,6 +311,9 @@
 		id := j.nextID.Add(1)
 		j.attemptID = id
 		a := j.dispatcher.place(ctx, j.work(id))
+		if j.movesShard(a) {
+			continue
+		}
 		if a.Verdict() != value.PlaceVerdictGranted {
 			j.finishUnplaced(ctx, a)
 			return
@@ -319,8 +338,9 @@
 	}
 }
 
-// sendGranted sends the request to the granted server, unless this instance knows that the server is leaving or lost, or
-// wants no requests from it now. The owner that has granted the server is told again.
+// sendGranted sends the request to the granted server, unless this instance knows that the server is leaving, lost or
+// excluded, or wants no requests from it now. The owner that has granted the server is told again, except of evacuations,
+// which it learns from the store.
 func (j *job) sendGranted(ctx context.Context, id uint64) Outcome {
 	s, ok := j.dispatcher.state.Load().Server(j.server)
 	notices := j.notices.Load()
@@ -334,6 +354,12 @@
 		j.dispatcher.finished(id, assign.ResultCancelled)
 		return Unsent{}
 	}
+	if v := j.Follower.View(); j.isExcluded(v, s) {
+		j.avoidExcluded(v)
+		j.dispatcher.finished(id, assign.ResultCancelled)
+		return Unsent{}
+	}
+	defer j.runs.start(s.Datacentre())()
 	return j.attempt(ctx, id, s)
 }
 
@@ -355,6 +381,8 @@
 	switch _, rejected := step.(Reject); {
 	case rejected && quarantined:
 		j.reject(Quarantined{After: after})
+	case rejected && a.Verdict() == value.PlaceVerdictRefused && j.excludesAll():
+		j.reject(Excluded{After: excludedRetryAfter})
 	case rejected && a.Verdict() == value.PlaceVerdictRefused:
 		j.reject(Overloaded{After: after})
 	default:
@@ -376,7 +404,8 @@
 func (j *job) work(id uint64) value.Work {
 	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
 		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.Deadline)).WithAvoid(j.avoid).
-		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint)
+		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint).
+		WithRegions(j.regions)
 }
 
 // finish carries out the last step of the request.
@@ -439,6 +468,8 @@
 		return "unproved"
 	case Overloaded:
 		return "busy"
+	case Excluded:
+		return "excluded"
 	case Quarantined:
 		return "isolated"
 	case DeadlineExceeded:
--- a/relay/request.go
+++ b/relay/request.go
@@ -67,6 +67,10 @@
 // Overloaded means that no server could take the request in time; the request has not run.
 type Overloaded struct{ After hoist.Millis }
 
+// Excluded means that every server of the service is in an evacuated data centre or outside the regions of the request; the
+// request has not run.
+type Excluded struct{ After hoist.Millis }
+
 // Quarantined means that the content is quarantined because it has crashed servers; the request has not run.
 type Quarantined struct{ After hoist.Millis }
 
@@ -82,6 +86,7 @@
 func (UnknownKey) isLocalError()       {}
 func (KeysStale) isLocalError()        {}
 func (Overloaded) isLocalError()       {}
+func (Excluded) isLocalError()         {}
 func (Quarantined) isLocalError()      {}
 func (DeadlineExceeded) isLocalError() {}
 func (ServerFailed) isLocalError()     {}
