--- a/config/forward.go
+++ b/config/forward.go
@@ -39,6 +39,8 @@
 	bounds := tableCheck{root, "bounds"}
 	bounds.checkPositive("grace_s", s.Bounds().GraceS())
 	bounds.checkPositive("revoke_ms", s.Bounds().RevokeMs())
+	indexNames(r, "data centre", "datacentres", s.Datacentres())
+	forEach(r, "data centre", "datacentres", s.Datacentres(), func(b objectCheck, d value.ForwardDatacentre) { b.checkPresent("region", d.Region()) })
 	resources := tableCheck{root, "resources"}
 	resources.checkPositive("memory_mib", s.Resources().MemoryMib())
 	resources.checkPositive("cores", s.Resources().Cores())
