--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -70,6 +70,7 @@
 	hosts   map[string]*origin.Host
 	url     string
 	ready   string
+	metrics string
 	stop    context.CancelFunc
 	done    chan error
 	closers []func()
@@ -144,7 +145,7 @@
 	p, err := daemon.New(daemon.Options{Settings: s, Logger: logger, Source: platform.NewStore(s.Store().Address()), Dialect: platform.Dialect()})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
-	f.url, f.ready, f.stop = "http://"+callers, "http://"+ready, stop
+	f.url, f.ready, f.metrics, f.stop = "http://"+callers, "http://"+ready, "http://"+free[2]+"/metrics", stop
 	go func() { f.done <- p.Run(ctx) }()
 	return f
 }
@@ -157,8 +158,11 @@
 }
 
 // enter writes the entry of a server to the store.
-func (f *environment) enter(id, state string) {
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":%q,"sequence":1}`, id[:3], f.hosts[id].Address(), state)
+func (f *environment) enter(id, state string) { f.enterAt(id, state, "x") }
+
+// enterAt writes the entry of a server in the data centre to the store.
+func (f *environment) enterAt(id, state, datacentre string) {
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"sequence":1}`, id[:3], f.hosts[id].Address(), datacentre, state)
 	f.store.Put("servers/"+id, []byte(entry))
 }
 
