relay: Let requests of a suspended instance wait for a newer view

Cause: when a process goes on after a suspension, its requests go on with the view from before, so one could reach a data centre that was evacuated meanwhile. Change: where evacuate_ms is set and the view is older than half of it, an attempt waits up to 300 ms for a newer view before its server is checked. If none comes, the store is away and no request waits for that view again. Result: TestSuspendedInstance; without the wait the request reaches the evacuated server, and while the store stays away it is served as before.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -36,6 +36,8 @@
 	completeAfter int64
 	// away is set while the content is not confirmed by the store or by an instance that is closer to it.
 	away bool
+	// replaced is closed when the next snapshot is published.
+	replaced chan struct{}
 }
 
 // Options are the dependencies of a follower.
@@ -86,7 +88,7 @@
 // NewFollower returns a follower of the source.
 func NewFollower(o Options) *Follower {
 	f := &Follower{Options: o, state: NewState().WithRegions(o.Regions, o.Home), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silences: map[string]silence{}, hasTable: make(chan struct{})}
-	f.published.Store(&snapshot{view: f.state.View()})
+	f.published.Store(&snapshot{view: f.state.View(), replaced: make(chan struct{})})
 	f.readerRequests.hint = make(chan struct{}, 1)
 	return f
 }
@@ -94,6 +96,12 @@
 // View returns the current view.
 func (f *Follower) View() *View { return f.published.Load().view }
 
+// Next returns the current view and a channel that is closed when it is replaced.
+func (f *Follower) Next() (*View, <-chan struct{}) {
+	s := f.published.Load()
+	return s.view, s.replaced
+}
+
 // HasTable returns a channel that is closed when the first view with a route table is published.
 func (f *Follower) HasTable() <-chan struct{} { return f.hasTable }
 
@@ -204,7 +212,7 @@
 func (f *Follower) apply(e Event, fromStore bool) {
 	old := f.published.Load()
 	f.state = f.state.Decide(e, f.Clock.Now())
-	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter, away: f.unreachable}
+	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter, away: f.unreachable, replaced: make(chan struct{})}
 	switch e := e.(type) {
 	case Listed:
 		next.history, next.completeAfter = value.List[value.FeedRecord]{}, e.Changes.Revision
@@ -216,6 +224,7 @@
 	// OnView comes first, so that readers of the new view find its consequences in place.
 	f.OnView(old.view, next.view)
 	f.published.Store(next)
+	close(old.replaced)
 	if old.view.Table == nil && next.view.Table != nil {
 		close(f.hasTable)
 	}
--- a/relay/exclusion.go
+++ b/relay/exclusion.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,9 +12,17 @@
 	"chicoryhoist.example/hoist/value"
 )
 
-// excludedRetryAfter is the delay after which a caller should try again if no server is permitted: evacuations end by an
-// operator's act, so a caller gains nothing by trying at once.
-const excludedRetryAfter = hoist.Second
+const (
+	// excludedRetryAfter is the delay after which a caller should try again if no server is permitted: evacuations end by an
+	// operator's act, so a caller gains nothing by trying at once.
+	excludedRetryAfter = hoist.Second
+	// viewAgeDivisor divides the time within which evacuations must be in force into the age of the view above which a request
+	// waits for a newer one. The age of a view that is confirmed at all stays below half of the default of 5 s.
+	viewAgeDivisor = 2
+	// refreshWait is the time for which a request waits for a newer view: that of a failed request to the store or to another
+	// instance, and of the next one.
+	refreshWait = 300 * hoist.Millis(1)
+)
 
 // commonRegions returns the regions that a route and a workspace both allow; an empty list allows all. It returns false if
 // both have a list and no region is in both.
@@ -34,6 +43,32 @@
 	return value.ListOf(common...), len(common) > 0
 }
 
+// viewBeforeSending returns the view by which a granted server is checked.
+//
+// A process that was suspended may hold a view from before an evacuation, and its requests go on at once. It gets newer
+// content within a moment, so a request waits up to refreshWait for it. If none comes, the store is away; then no request
+// waits for that view again, because the last known state stays in force.
+func (j *job) viewBeforeSending(ctx context.Context) *feed.View {
+	limit := hoist.MillisOfFloat(j.Settings.Bounds().EvacuateMs()) / viewAgeDivisor
+	v, replaced := j.Follower.Next()
+	if limit <= 0 || v.Age(j.Clock.Now()) <= limit || j.refreshMissed.Load() == int64(v.ConfirmedAt) {
+		return v
+	}
+	end := j.Clock.After(refreshWait)
+	for v.Age(j.Clock.Now()) > limit {
+		select {
+		case <-replaced:
+			v, replaced = j.Follower.Next()
+		case <-end:
+			j.refreshMissed.Store(int64(v.ConfirmedAt))
+			return v
+		case <-ctx.Done():
+			return v
+		}
+	}
+	return v
+}
+
 // restrict sets the regions of the request by its route and workspace.
 func (j *job) restrict(r value.Route, h value.KeyHolder) {
 	var ok bool
--- a/relay/exclusion_test.go
+++ b/relay/exclusion_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
@@ -42,8 +43,10 @@
 type unawareOwner struct {
 	relay   *Relay
 	servers []string
-	mu      sync.Mutex
-	asks    []value.Work
+	// onAsk is called for each placement request if it is not nil.
+	onAsk func()
+	mu    sync.Mutex
+	asks  []value.Work
 }
 
 // SendTo implements Mesh.
@@ -55,6 +58,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.asks = append(o.asks, ask.Work())
+	if o.onAsk != nil {
+		o.onAsk()
+	}
 	a := value.PlaceAnswer{}.WithShard(ask.Shard()).WithId(ask.Work().Id()).WithVerdict(value.PlaceVerdictRefused)
 	avoid := slices.Collect(ask.Work().Avoid().All())
 	for _, s := range o.servers {
@@ -142,11 +148,8 @@
 				content = append(content, evacuate(d))
 			}
 			owner := &unawareOwner{servers: []string{"a1", "a2", "b1", "c1"}}
-			owner.relay = startRelay(t, content, owner)
-			request := Request{
-				ID: "1", Method: http.MethodGet, Target: "/", Path: "/", Host: "a", Arrived: owner.relay.Clock.Now(), Timeout: 5 * hoist.Second,
-				Header: http.Header{"Chicoryhoist-Request-Id": {"1"}},
-			}
+			owner.relay = startRelay(t, content, owner, hoist.NewBootClock(), 0)
+			request := requestAt(owner.relay.Clock.Now())
 			if c.tenant != nil {
 				request.Key = "k"
 			}
@@ -165,19 +168,27 @@
 	}
 }
 
+// requestAt returns a request that arrived at the time.
+func requestAt(now hoist.Millis) Request {
+	return Request{
+		ID: "1", Method: http.MethodGet, Target: "/", Path: "/", Host: "a", Arrived: now, Timeout: 5 * hoist.Second,
+		Header: http.Header{"Chicoryhoist-Request-Id": {"1"}},
+	}
+}
+
 // startRelay starts a relay whose shards are owned by the owner, with the content of the store in force.
-func startRelay(t *testing.T, content fixedSource, owner *unawareOwner) *Relay {
+func startRelay(t *testing.T, content feed.Source, owner *unawareOwner, clock hoist.Clock, evacuateMs float64) *Relay {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	clock, log := hoist.NewBootClock(), event.NewLog(logger)
+	log := event.NewLog(logger)
 	f := feed.NewFollower(feed.Options{
-		Source: content, Clock: clock, Log: log, WatchTimeout: hoist.Second,
+		Source: content, Clock: hoist.NewBootClock(), Log: log, WatchTimeout: hoist.Second,
 		Regions: map[string]string{"x": "north", "y": "north", "z": "south"}, Home: "north",
 	})
 	r := New(t.Context(), Options{
 		Clock: clock, Client: http1.NewClient(clock, http1.Limits{Connect: hoist.Second, Idle: hoist.Second, Header: hoist.Second, UnframedBytes: 1 << 20}),
 		Dialect: platform.Dialect(), Follower: f, Log: log, Metrics: NewMetrics(), Mesh: owner,
-		Settings: value.ForwardSettings{}.WithName("self").WithDatacentre("x").WithRegion("north").WithBounds(value.ForwardBounds{}.WithRevokeMs(60_000)),
+		Settings: value.ForwardSettings{}.WithName("self").WithDatacentre("x").WithRegion("north").WithBounds(value.ForwardBounds{}.WithRevokeMs(60_000).WithEvacuateMs(evacuateMs)),
 	})
 	f.OnView = func(old, v *feed.View) {
 		r.Follow(old, v)
@@ -192,6 +203,76 @@
 	return r
 }
 
+// suspendedSource is a store whose next change is seen only once resumed is closed, as by a process that was suspended.
+type suspendedSource struct {
+	fixedSource
+	change  value.FeedRecord
+	resumed chan struct{}
+}
+
+// Watch implements feed.Source.
+func (s suspendedSource) Watch(ctx context.Context, after int64, _ hoist.Millis) (feed.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return feed.Changes{}, ctx.Err()
+	case <-s.resumed:
+	}
+	if r := s.change.Revision(); after < r {
+		return feed.Changes{Records: []value.FeedRecord{s.change}, Revision: r}, nil
+	}
+	time.Sleep(5 * time.Millisecond)
+	return feed.Changes{Revision: after}, nil
+}
+
+// patientClock is a clock on which a request waits for a newer view as long as it takes, however busy the machine is.
+type patientClock struct{ hoist.Clock }
+
+// After implements hoist.Clock.
+func (c patientClock) After(d hoist.Millis) <-chan hoist.Millis {
+	if d == refreshWait {
+		return nil
+	}
+	return c.Clock.After(d)
+}
+
+// staleAge is the age of the view, in milliseconds, above which a request waits for a newer one.
+const staleAge = 200
+
+// TestSuspendedInstance guards against requests that an instance sends to an evacuated data centre when it goes on after a
+// suspension, before it has heard of the evacuation; and against an instance that serves nothing while the store is away.
+func TestSuspendedInstance(t *testing.T) {
+	target := value.RouteTarget{}.WithService("app").WithWeight(1)
+	table := value.RouteTable{}.WithVersion(1).WithKeyless(true).
+		WithRoutes(value.ListOf(value.Route{}.WithName("r").WithHost("a").WithPrefix("/").WithTargets(value.ListOf(target)).WithAttempts(1)))
+	for name, c := range map[string]struct {
+		clock   hoist.Clock
+		resumes bool
+		server  string
+	}{
+		"content arrives":  {patientClock{hoist.NewBootClock()}, true, "b1"},
+		"store stays away": {hoist.NewBootClock(), false, "a1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			source := suspendedSource{
+				fixedSource: fixedSource{value.FeedRecord{}.WithKey("table").WithRevision(1).WithBody(table), startServer(t, "a1", "x"), startServer(t, "b1", "y")},
+				change:      evacuate("x").WithRevision(9), resumed: make(chan struct{}),
+			}
+			owner := &unawareOwner{servers: []string{"a1", "b1"}}
+			if c.resumes {
+				owner.onAsk = sync.OnceFunc(func() { close(source.resumed) })
+			}
+			owner.relay = startRelay(t, source, owner, c.clock, 2*staleAge)
+			g.Eventually(func() bool { return owner.relay.Follower.View().Age(c.clock.Now()) > staleAge }).Should(gomega.BeTrue())
+			for range 2 {
+				a := &answer{}
+				owner.relay.Serve(t.Context(), requestAt(c.clock.Now()), a)
+				g.Expect(a.body.String()).To(gomega.Equal(c.server))
+			}
+		})
+	}
+}
+
 // TestShardWithoutPermittedServer guards against requests that are refused because all servers of their shard are
 // evacuated or outside their regions while another shard has some.
 func TestShardWithoutPermittedServer(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,9 +62,11 @@
 	// notices is what servers have told this instance about themselves.
 	notices atomic.Pointer[assign.Notices]
 	// runs counts the attempts of this instance by data centre.
-	runs   datacentreRuns
-	nextID atomic.Uint64
-	active atomic.Int64
+	runs datacentreRuns
+	// refreshMissed is the time of confirmation of the last view that no newer one replaced while a request waited for that.
+	refreshMissed atomic.Int64
+	nextID        atomic.Uint64
+	active        atomic.Int64
 	// drain is the planned stop in progress, or nil.
 	drain atomic.Pointer[Drain]
 	// allRequests ends with endRequests.
@@ -342,6 +344,7 @@
 // excluded, or wants no requests from it now. The owner that has granted the server is told again, except of evacuations,
 // which it learns from the store.
 func (j *job) sendGranted(ctx context.Context, id uint64) Outcome {
+	v := j.viewBeforeSending(ctx)
 	s, ok := j.dispatcher.state.Load().Server(j.server)
 	notices := j.notices.Load()
 	pause := notices.PausedFor(s, j.Clock.Now())
@@ -354,7 +357,7 @@
 		j.dispatcher.finished(id, assign.ResultCancelled)
 		return Unsent{}
 	}
-	if v := j.Follower.View(); j.isExcluded(v, s) {
+	if j.isExcluded(v, s) {
 		j.avoidExcluded(v)
 		j.dispatcher.finished(id, assign.ResultCancelled)
 		return Unsent{}
