--- a/feed/follower.go
+++ b/feed/follower.go
@@ -36,6 +36,8 @@
 	completeAfter int64
 	// away is set while the content is not confirmed by the store or by an instance that is closer to it.
 	away bool
+	// replaced is closed when the next snapshot is published.
+	replaced chan struct{}
 }
 
 // Options are the dependencies of a follower.
@@ -49,6 +51,9 @@
 	StartPatience hoist.Millis
 	// Mesh carries messages to other instances; it is nil if there are none.
 	Mesh Mesh
+	// Regions are the regions of the data centres, and Home is the region of all of them if there are none.
+	Regions map[string]string
+	Home    string
 }
 
 // Follower keeps the view of one process current in a single goroutine.
@@ -82,8 +87,8 @@
 
 // NewFollower returns a follower of the source.
 func NewFollower(o Options) *Follower {
-	f := &Follower{Options: o, state: NewState(), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silences: map[string]silence{}, hasTable: make(chan struct{})}
-	f.published.Store(&snapshot{view: f.state.View()})
+	f := &Follower{Options: o, state: NewState().WithRegions(o.Regions, o.Home), OnView: func(_, _ *View) {}, startedAt: o.Clock.Now(), silences: map[string]silence{}, hasTable: make(chan struct{})}
+	f.published.Store(&snapshot{view: f.state.View(), replaced: make(chan struct{})})
 	f.readerRequests.hint = make(chan struct{}, 1)
 	return f
 }
@@ -91,6 +96,12 @@
 // View returns the current view.
 func (f *Follower) View() *View { return f.published.Load().view }
 
+// Next returns the current view and a channel that is closed when it is replaced.
+func (f *Follower) Next() (*View, <-chan struct{}) {
+	s := f.published.Load()
+	return s.view, s.replaced
+}
+
 // HasTable returns a channel that is closed when the first view with a route table is published.
 func (f *Follower) HasTable() <-chan struct{} { return f.hasTable }
 
@@ -154,7 +165,7 @@
 		defer cancel()
 		c, err := f.Source.List(ctx)
 		if err != nil {
-			return Failed{}, err
+			return failure(err, requestedAt), err
 		}
 		f.listed = true
 		return Listed{Changes: c, RequestedAt: requestedAt}, nil
@@ -167,11 +178,19 @@
 		return Ticked{}, err
 	}
 	if err != nil {
-		return Failed{}, err
+		return failure(err, requestedAt), err
 	}
 	return Changed{Changes: c, RequestedAt: requestedAt}, nil
 }
 
+// failure returns the event of a request to the store that was sent at requestedAt and failed.
+func failure(err error, requestedAt hoist.Millis) Failed {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Failed{Since: requestedAt}
+	}
+	return Failed{}
+}
+
 // logReachability logs the first failure of the store or of the instances that read it, and the recovery.
 func (f *Follower) logReachability(err error) {
 	switch {
@@ -193,7 +212,7 @@
 func (f *Follower) apply(e Event, fromStore bool) {
 	old := f.published.Load()
 	f.state = f.state.Decide(e, f.Clock.Now())
-	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter, away: f.unreachable}
+	next := &snapshot{view: f.state.View(), state: f.state, history: old.history, completeAfter: old.completeAfter, away: f.unreachable, replaced: make(chan struct{})}
 	switch e := e.(type) {
 	case Listed:
 		next.history, next.completeAfter = value.List[value.FeedRecord]{}, e.Changes.Revision
@@ -201,10 +220,11 @@
 		next = next.withHistory(e.Changes.Records)
 	case Failed, Ticked:
 	}
-	f.logChanges(e, old.view, next.view)
+	f.logChanges(e, old, next.view)
 	// OnView comes first, so that readers of the new view find its consequences in place.
 	f.OnView(old.view, next.view)
 	f.published.Store(next)
+	close(old.replaced)
 	if old.view.Table == nil && next.view.Table != nil {
 		close(f.hasTable)
 	}
@@ -224,10 +244,12 @@
 }
 
 // logChanges logs the changes of an event.
-func (f *Follower) logChanges(e Event, old, v *View) {
+func (f *Follower) logChanges(e Event, before *snapshot, v *View) {
+	old := before.view
 	if v.Table != nil && (old.Table == nil || old.Table.Version() != v.Table.Version()) {
 		f.Log.Write(event.RoutesInForce, logrus.Fields{"version": v.Table.Version(), "revision": f.state.Revision(), "age_ms": v.Age(f.Clock.Now())})
 	}
+	f.logEvacuations(old, v)
 	var c Changes
 	switch e := e.(type) {
 	case Listed:
@@ -243,7 +265,9 @@
 		case value.BackendServer:
 			f.Log.Write(event.ServerListed, logrus.Fields{"server": b.Id(), "service": b.Service(), "address": b.Address(), "leaving": b.Leaving(), "revision": r.Revision()})
 		case value.FeedGone:
-			f.Log.Write(event.ServerGone, logrus.Fields{"key": r.Key(), "revision": r.Revision()})
+			if _, ended := before.state.evacuations[r.Key()]; !ended {
+				f.Log.Write(event.ServerGone, logrus.Fields{"key": r.Key(), "revision": r.Revision()})
+			}
 		case value.RouteTable, value.Evacuation, value.FeedOther:
 		}
 	}
