assign, relay: Learn the speed of limited engines at the shard owner

Cause: the cost of a choice takes every engine for equally fast, with a constant number of prompt tokens per ms, so that under steady demand slow engines get as many prompts as fast ones. Change: for services whose engines have between 1 and balance.max_slots slots, a state learns the rate of its shard and a factor of each engine from the time to the first event of the requests that it has placed. The factor multiplies the terms of the queue in the cost. The reported slowness is divided out, and the model of a server ends when it is born anew.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -27,12 +27,16 @@
 	return n
 }
 
-// servers parses servers of the form ID:DATACENTRE:SLOTS, with the suffix :leaving for a leaving server.
+// servers parses servers of the form ID:DATACENTRE:SLOTS, with the suffix :leaving for a leaving server or :born=TIME for
+// one that started at the time.
 func servers(fields []string) value.List[value.BackendServer] {
 	var list []value.BackendServer
 	for _, f := range fields {
 		p := strings.Split(f, ":")
-		list = append(list, value.BackendServer{}.WithId(p[0]).WithDatacentre(p[1]).WithSlots(int32(number(p[2]))).WithLeaving(len(p) > 3))
+		list = append(list, value.BackendServer{}.WithId(p[0]).WithDatacentre(p[1]).WithSlots(int32(number(p[2]))).WithLeaving(len(p) > 3 && p[3] == "leaving"))
+		if len(p) > 3 && strings.HasPrefix(p[3], "born=") {
+			list[len(list)-1] = list[len(list)-1].WithBorn(number(strings.TrimPrefix(p[3], "born=")))
+		}
 	}
 	return value.ListOf(list...)
 }
@@ -106,6 +110,8 @@
 		return assign.RetryLimitsChanged{Limits: assign.OwnerRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")))}
 	case "local-limits":
 		return assign.RetryLimitsChanged{Limits: assign.LocalRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")), int(l.Int("instances")))}
+	case "rules":
+		return assign.RulesChanged{Rules: assign.Rules{Engines: l.Has("engines"), Plain: l.Has("plain"), Owner: l.Has("owner")}}
 	case "tick":
 		return assign.Ticked{}
 	default:
@@ -128,6 +134,16 @@
 	}
 }
 
+// showModels formats the learned models.
+func showModels(s assign.State) string {
+	rate, models := s.Models()
+	out := fmt.Sprintf("rate=%.1f", rate)
+	for _, m := range models {
+		out += fmt.Sprintf(" %s=%.2f", m.Server, m.Factor)
+	}
+	return out
+}
+
 // Guards against transitions that grant a leaving, failing or overloaded server while a better one is available, that
 // lose or duplicate a request, or that reject a request which could run.
 var _ = DescribeTable("scripts", func(c golden.Case) {
@@ -137,6 +153,9 @@
 			ids, others := s.Holding(l.Text("from"), l.Text("owner"), hoist.Millis(l.Int("at")))
 			return fmt.Sprintf("granted=%d others=%d", ids.Len(), others.Len())
 		}
+		if l.Verb == "model" {
+			return showModels(s)
+		}
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
 		var out strings.Builder
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -12,6 +12,7 @@
 // only if no other server can take the request.
 func (s State) choose(w value.Work, now hoist.Millis) (int, Estimate) {
 	best, estimate, lowestCost := -1, Estimate{}, math.Inf(1)
+	rate := s.promptRate()
 	for pass := range 2 {
 		for i := range s.servers.Len() {
 			x := s.servers.At(i)
@@ -19,7 +20,7 @@
 				continue
 			}
 			uncached, recomputed := s.uncached(w, x, now)
-			if c := cost(x, w, uncached, recomputed, now); c < lowestCost {
+			if c := cost(x, w, uncached, recomputed, s.scale(x, rate), now); c < lowestCost {
 				best, estimate, lowestCost = i, Estimate{UncachedTokens: uncached, PendingTokens: x.pendingTokens(), Running: x.runs.Len()}, c
 			}
 		}
@@ -53,18 +54,18 @@
 }
 
 // cost returns the estimated cost of running the request at the server, in milliseconds.
-func cost(x server, w value.Work, uncached, recomputed int32, now hoist.Millis) float64 {
+func cost(x server, w value.Work, uncached, recomputed int32, scale costScale, now hoist.Millis) float64 {
 	c := float64(x.runs.Len())
 	slowness := x.slowness(now)
 	if w.Parts().Len() == 0 {
 		c = plainCostMs * (c + 1) / float64(max(x.entry.Slots(), 1)) * slowness
 	} else {
-		c = slowness*((x.tokensAhead(w.Rank())+assignedWeight*x.decayedTokens(now)+float64(uncached))/prefillTokensPerMs+c*runCostMs) + recomputeWeight*float64(recomputed)/prefillTokensPerMs
+		c = scale.factor*slowness*((x.tokensAhead(w.Rank())+assignedWeight*x.decayedTokens(now)+float64(uncached))/scale.rate+c*runCostMs) + recomputeWeight*float64(recomputed)/scale.rate
 		c += (slowness - 1) * slowStreamMs
-		c += streamPauseWeight * float64(x.higherRanked(w.Rank())) * float64(uncached) / prefillTokensPerMs
+		c += streamPauseWeight * float64(x.higherRanked(w.Rank())) * float64(uncached) / scale.rate
 	}
 	if excess := x.runs.Len() + 1 - int(x.entry.Slots()); excess > 0 && x.entry.Slots() > 0 {
-		c += float64(excess) * slotWaitMs
+		c += float64(excess) * slotWaitMs * scale.factor
 	}
 	if x.entry.Datacentre() != w.Datacentre() {
 		c += remoteCostMs
--- a/assign/constants.go
+++ b/assign/constants.go
@@ -7,7 +7,7 @@
 
 const (
 	// prefillTokensPerMs is the rate at which a busy engine computes prompt tokens between the decoding steps of
-	// other requests.
+	// other requests, as long as no other rate has been learned.
 	prefillTokensPerMs = 45
 	// recomputeWeight multiplies the time to compute prompt tokens that another server has cached.
 	recomputeWeight = 12
--- /dev/null
+++ b/assign/model_test.go
@@ -0,0 +1,162 @@
+package assign_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/assign"
+	"chicoryhoist.example/hoist/value"
+)
+
+// labEngine is a simulated engine that computes one prompt at a time, those of higher ranks first.
+type labEngine struct {
+	// rate is the number of prompt tokens computed in a millisecond.
+	rate  float64
+	queue []value.Work
+	// current is the prompt that is computed until busyUntil, or has ID 0.
+	current   value.Work
+	busyUntil hoist.Millis
+	tokens    int64
+}
+
+// step starts the next prompt and returns the ID of the one that has ended, or 0.
+func (e *labEngine) step(now hoist.Millis) uint64 {
+	var ended uint64
+	if e.current.Id() != 0 && now >= e.busyUntil {
+		ended, e.current = e.current.Id(), value.Work{}
+	}
+	if e.current.Id() == 0 && len(e.queue) > 0 {
+		slices.SortStableFunc(e.queue, func(a, b value.Work) int { return cmp.Compare(a.Rank(), b.Rank()) })
+		e.current, e.queue = e.queue[0], e.queue[1:]
+		e.busyUntil = now + hoist.Millis(float64(labTokens(e.current))/e.rate)
+	}
+	return ended
+}
+
+// labTokens returns the length of the prompt.
+func labTokens(w value.Work) int64 {
+	var n int64
+	for p := range w.Parts().All() {
+		n += int64(p.Tokens())
+	}
+	return n
+}
+
+// lab drives a state with simulated engines.
+type lab struct {
+	state   assign.State
+	engines map[string]*labEngine
+	// arrived holds the arrivals of the requests without a first event, times the times to the first event of the others.
+	arrived map[uint64]hoist.Millis
+	times   []hoist.Millis
+	refused int
+}
+
+// decide applies an event and passes the granted requests to the engines.
+func (l *lab) decide(e assign.Event, now hoist.Millis, works map[uint64]value.Work) {
+	var effects []assign.Effect
+	l.state, effects = l.state.Decide(e, now)
+	for _, x := range effects {
+		switch x := x.(type) {
+		case assign.Grant:
+			g := l.engines[x.Server.Id()]
+			g.queue = append(g.queue, works[x.ID])
+			g.tokens += labTokens(works[x.ID])
+		case assign.Refuse:
+			l.refused++
+		case assign.Queued:
+		}
+	}
+}
+
+// run submits the requests, which are sorted by arrival, and advances the time until the end.
+func (l *lab) run(works []value.Work, end hoist.Millis) {
+	byID := map[uint64]value.Work{}
+	for _, w := range works {
+		byID[w.Id()] = w
+	}
+	names := make([]string, 0, len(l.engines))
+	for n := range l.engines {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for now := hoist.Millis(1); now < end; now++ {
+		for _, n := range names {
+			if id := l.engines[n].step(now); id != 0 {
+				l.times = append(l.times, now-hoist.Millis(byID[id].ArrivedMs()))
+				l.decide(assign.Responded{ID: id}, now, byID)
+				l.decide(assign.Finished{ID: id, Result: assign.ResultOK}, now, byID)
+			}
+		}
+		for len(works) > 0 && hoist.Millis(works[0].ArrivedMs()) <= now {
+			l.decide(assign.Submitted{Work: works[0]}, now, byID)
+			works = works[1:]
+		}
+	}
+}
+
+// newLab returns a lab with engines in data centre x; speeds multiply the processing time at the usual rate.
+func newLab(rules assign.Rules, rate float64, speeds ...float64) *lab {
+	l := &lab{state: assign.New(), engines: map[string]*labEngine{}, arrived: map[uint64]hoist.Millis{}}
+	var list []value.BackendServer
+	for i, f := range speeds {
+		id := fmt.Sprintf("s%02d", i)
+		l.engines[id] = &labEngine{rate: rate / f}
+		list = append(list, value.BackendServer{}.WithId(id).WithDatacentre("x").WithSlots(64))
+	}
+	l.state, _ = l.state.Decide(assign.ServersUpdated{Servers: value.ListOf(list...)}, 0)
+	l.state, _ = l.state.Decide(assign.RulesChanged{Rules: rules}, 0)
+	return l
+}
+
+// steady returns prompts without shared parts that arrive at equal intervals.
+func steady(tokens int32, interval float64, end hoist.Millis) []value.Work {
+	var works []value.Work
+	for t := 1.0; t < float64(end); t += interval {
+		id := uint64(len(works) + 1)
+		works = append(works, value.Work{}.WithId(id).WithOrigin("n").WithDatacentre("x").WithRank(2).WithTargetMs(1200).
+			WithArrivedMs(int64(t)).WithEndMs(int64(t)+6000).WithParts(value.ListOf(value.PromptPart{}.WithId(id).WithTokens(tokens))))
+	}
+	return works
+}
+
+// Pattern: engines of the speeds 0.6, 1.0 and 1.6 under steady demand, reporting no slowness. Guards against a cost that
+// takes all engines for equally fast, so that slow ones get prompts which a fast one with a longer queue would begin earlier.
+var _ = DescribeTable("the share of work follows the speed", func(load, atLeast, atMost float64) {
+	const rate, tokens, end = 42.8, 4000, 60000
+	speeds := []float64{0.6, 1.0, 1.6, 0.6, 1.0, 1.6}
+	capacity := 0.0
+	for _, f := range speeds {
+		capacity += rate / f
+	}
+	shares := func(rules assign.Rules) (slow, fast float64, mean float64) {
+		l := newLab(rules, rate, speeds...)
+		l.run(steady(tokens, tokens/(capacity*load), end), end)
+		var total float64
+		for _, e := range l.engines {
+			total += float64(e.tokens)
+		}
+		for _, t := range l.times {
+			mean += float64(t) / float64(len(l.times))
+		}
+		return float64(l.engines["s02"].tokens+l.engines["s05"].tokens) / total, float64(l.engines["s00"].tokens+l.engines["s03"].tokens) / total, mean
+	}
+	slow, fast, mean := shares(assign.Rules{Engines: true, Owner: true})
+	oldSlow, oldFast, oldMean := shares(assign.Rules{})
+	fmt.Fprintf(GinkgoWriter, "load %.2f: slow %.3f (was %.3f), fast %.3f (was %.3f), mean %.0f ms (was %.0f ms)\n", load, slow, oldSlow, fast, oldFast, mean, oldMean)
+	// The slowest servers have 1/1.6 / (1/0.6+1/1.0+1/1.6) = 19% of the speed, the fastest 51%.
+	Expect(slow).To(And(BeNumerically(">=", atLeast), BeNumerically("<=", atMost)))
+	Expect(oldSlow).To(BeNumerically(">", atMost))
+	Expect(fast).To(BeNumerically(">", oldFast))
+	Expect(mean).To(BeNumerically("<", oldMean))
+},
+	Entry("at 30% of the capacity", 0.3, 0.0, 0.19),
+	Entry("at 50% of the capacity", 0.5, 0.0, 0.19),
+	Entry("at 70% of the capacity", 0.7, 0.0, 0.19),
+	Entry("at 90% of the capacity", 0.9, 0.05, 0.19),
+)
--- a/assign/server.go
+++ b/assign/server.go
@@ -13,6 +13,9 @@
 	// uncached is the number of prompt tokens that the server is expected to compute.
 	uncached  int32
 	responded bool
+	// expectedTokens is the number of prompt tokens that the server was expected to compute before the first event, scaled by
+	// its slowness. It is zero if this state has not placed the request or learns no model.
+	expectedTokens float64
 	// placedAt is the time at which this state granted the request or learnt of it.
 	placedAt hoist.Millis
 	// grantedBy is the other instance that granted the request, or empty.
@@ -39,6 +42,8 @@
 	leaving bool
 	// pauses are the instances from which the server wants no requests for a time.
 	pauses value.List[pause]
+	// model is what this state has learned of the speed of the server.
+	model model
 }
 
 // pause is the time until which a server wants no requests from an instance.
--- a/assign/state.go
+++ b/assign/state.go
@@ -18,6 +18,7 @@
 	// retryBudget holds the retries that the state may still grant.
 	retryBudget retry.Bucket
 	retryLimits RetryLimits
+	rules       Rules
 }
 
 // New returns the state of a shard without servers.
@@ -109,7 +110,7 @@
 		s = s.withoutWaiting(e.ID)
 	case Responded:
 		s = s.withServerOf(e.ID, func(x server) server {
-			x = x.withResponse(e.ID)
+			x = x.withSample(e.ID, s.promptRate(), now).withResponse(e.ID)
 			if e.Loaded {
 				x = x.withLoad(e.Load, now)
 			}
@@ -131,6 +132,8 @@
 		s = s.withServer(e.Server, func(x server) server { return x.withPause(e.Origin, e.Until, now) })
 	case RetryLimitsChanged:
 		s = s.withRetryLimits(e.Limits)
+	case RulesChanged:
+		s.rules = e.Rules
 	case Ticked:
 	}
 	s, more := s.schedule(now)
@@ -306,7 +309,8 @@
 		switch {
 		case at >= 0:
 			effects = append(effects, Grant{w.Id(), w.Origin(), s.servers.At(at).entry, basis})
-			s = s.withPlaced(at, run{work: w, uncached: basis.UncachedTokens, placedAt: now}, now)
+			expected := s.expectedTokens(s.servers.At(at), w, basis.UncachedTokens, now)
+			s = s.withPlaced(at, run{work: w, uncached: basis.UncachedTokens, placedAt: now, expectedTokens: expected}, now)
 		case now >= queueDeadline(w) || !s.hasUsableServer(w):
 			effects = append(effects, Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), s.rejectReason(w)})
 		default:
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -62,6 +62,8 @@
 	// retryLimits are the limits last passed to the state; limitsMu guards them.
 	limitsMu    sync.Mutex
 	retryLimits assign.RetryLimits
+	// rules are the rules last passed to the state; limitsMu guards them.
+	rules assign.Rules
 }
 
 // run processes events until the dispatcher is stopped.
@@ -178,6 +180,19 @@
 	}
 }
 
+// updateRules passes the changed rules of the decisions about the shard to the state. Owner is set here.
+func (d *dispatcher) updateRules(change func(assign.Rules) assign.Rules) {
+	d.limitsMu.Lock()
+	defer d.limitsMu.Unlock()
+	r := change(d.rules)
+	r.Owner = *d.owner.Load() == d.self
+	// A state that has no rules besides those of every service needs no event when its owner changes.
+	if (r.Engines || r.Plain || d.rules.Engines || d.rules.Plain) && d.rules != r {
+		d.rules = r
+		d.post(assign.RulesChanged{Rules: r})
+	}
+}
+
 // responseBufferSize is the number of placement responses that are buffered for one request: a few copies of each
 // verdict.
 const responseBufferSize = 8
--- a/relay/service.go
+++ b/relay/service.go
@@ -12,6 +12,7 @@
 	"chicoryhoist.example/hoist/feed"
 	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/retry"
+	"chicoryhoist.example/hoist/route"
 	"chicoryhoist.example/hoist/value"
 )
 
@@ -52,6 +53,7 @@
 	// A service without a route is followed too, because its requests may wait, or be sent again after a server has failed.
 	for n, s := range next {
 		next[n] = r.withShards(n, s, servers[n])
+		r.setRules(n, next[n], v.Table)
 	}
 	r.services.Store(&next)
 	hoist.Update(&r.notices, func(n assign.Notices) assign.Notices { return n.Retained(v.Servers) })
@@ -103,6 +105,18 @@
 	}
 }
 
+// setRules passes the rules of the service in the table to its dispatchers. Without a table, or for a service that the table
+// does not describe, the rules in force stay.
+func (r *Relay) setRules(name string, s *service, t *route.Table) {
+	if t == nil {
+		return
+	}
+	rules := assign.RulesFor(name, t.Specs(), r.Settings.Balance().MaxSlots())
+	for _, d := range s.dispatchers {
+		d.updateRules(func(assign.Rules) assign.Rules { return rules })
+	}
+}
+
 // retryPermille returns the number of retries that a thousand requests earn; more than one retry of each request serves
 // nobody.
 func (r *Relay) retryPermille() int64 {
@@ -162,6 +176,7 @@
 	for _, s := range *r.services.Load() {
 		for _, d := range s.dispatchers {
 			d.setOwner(ownerOf(v, d.shard))
+			d.updateRules(func(x assign.Rules) assign.Rules { return x })
 			for _, n := range lost {
 				d.post(assign.InstanceLost{Origin: n})
 			}
--- a/route/table.go
+++ b/route/table.go
@@ -99,6 +99,9 @@
 	return slices.Compact(names)
 }
 
+// Specs returns the descriptions of services that the table has.
+func (t *Table) Specs() value.List[value.ServiceSpec] { return t.source.Services() }
+
 // SelectService selects a service of the route by weight. The same request ID always selects the same service while
 // the weights stay the same.
 func SelectService(r value.Route, id string) string {
