assign: Refuse early what limited engines cannot begin in time

Cause: engines take every request, so that under overload they compute prompts whose deadline has passed, and callers learn of it only then. Change: the owner of a shard of limited engines refuses a new request whose first event it expects after the deadline, by the learned model and what is pending. Where the first event is expected after a quarter of the time left, a workspace that sends more than three times its share is refused, and then lower ranks. Nothing is refused while less than half of the slots are taken and nothing waits. At least one request of each rank and size passes in each second, and one of each workspace above its share. Refused callers return in the order of their first requests, and keep their place.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -44,7 +44,8 @@
 // work parses the request of a line; prompt parts have the form ID:TOKENS.
 func work(l golden.Line) value.Work {
 	w := value.Work{}.WithId(uint64(l.Int("id"))).WithRank(int32(l.Int("rank"))).WithArrivedMs(l.Int("at")).WithTargetMs(250).
-		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x").WithRetry(l.Has("retry"))
+		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x").WithRetry(l.Has("retry")).
+		WithWorkspace(l.Text("workspace")).WithFingerprint(uint64(l.Int("fingerprint")))
 	if l.Has("end") {
 		w = w.WithEndMs(l.Int("end"))
 	}
@@ -89,7 +90,7 @@
 	case "submit":
 		return assign.Submitted{Work: work(l)}
 	case "responded":
-		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness")))
+		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness"))).WithWaiting(int32(l.Int("waiting")))
 		return assign.Responded{ID: id, Load: load, Loaded: l.Has("slowness")}
 	case "finished":
 		return assign.Finished{ID: id, Result: results[l.Text("result")]}
@@ -126,6 +127,9 @@
 	case assign.Grant:
 		return fmt.Sprintf("grant %d at %s uncached=%d pending=%d running=%d", e.ID, e.Server.Id(), e.Basis.UncachedTokens, e.Basis.PendingTokens, e.Basis.Running)
 	case assign.Refuse:
+		if i := e.Inputs; e.Reason.Early() {
+			return fmt.Sprintf("reject %d after=%d %s expected=%d left=%d taken=%d/%d waiting=%d excess=%.1f", e.ID, e.After, e.Reason, i.Expected, i.Left, i.Taken, i.Slots, i.Waiting, i.Excess)
+		}
 		return fmt.Sprintf("reject %d after=%d %s", e.ID, e.After, e.Reason)
 	case assign.Queued:
 		return fmt.Sprintf("queued %d", e.ID)
--- a/assign/event.go
+++ b/assign/event.go
@@ -136,6 +136,8 @@
 	// After is the delay after which a new attempt may succeed.
 	After  hoist.Millis
 	Reason Reason
+	// Inputs are set if Reason.Early returns true.
+	Inputs RefusalInputs
 }
 
 // Queued reports that a request waits for a server.
@@ -158,8 +160,17 @@
 	Overload
 	// RetryLimit means that the request has run and the retry budget does not cover another attempt.
 	RetryLimit
+	// NoTime means that no engine can send the first event before the deadline.
+	NoTime
+	// OverShare means that the workspace has sent far more than its share and that the engines are behind.
+	OverShare
+	// HigherRank means that requests of a higher rank are refused by share.
+	HigherRank
 )
 
+// Early reports whether the request was refused early, by the load of the engines.
+func (r Reason) Early() bool { return r == NoTime || r == OverShare || r == HigherRank }
+
 // String returns the reason in lower case.
 func (r Reason) String() string {
 	switch r {
@@ -169,6 +180,12 @@
 		return "overload"
 	case RetryLimit:
 		return "retry limit"
+	case NoTime:
+		return "no time"
+	case OverShare:
+		return "over share"
+	case HigherRank:
+		return "higher rank"
 	default:
 		return "unknown"
 	}
--- a/assign/model.go
+++ b/assign/model.go
@@ -32,14 +32,14 @@
 }
 
 // withSample returns a copy that has learned that the tokens took the time. A sample says nothing if the tokens take less
-// than minSampleTime at the rate. A time above maxFactor times the predicted one counts as that much, because it is that of
-// a frozen process or a broken link rather than that of an engine.
+// than minSampleTime at the rate. The time counts only within the bounds of a factor: beyond, it is that of a frozen process
+// or of a wrong entry rather than that of an engine.
 func (m model) withSample(tokens, rate float64, took hoist.Millis) model {
 	predicted := tokens / rate
 	if predicted < minSampleTime || took < 0 {
 		return m
 	}
-	return model{m.tokens*modelDecay + tokens, m.observed*modelDecay + min(float64(took), maxFactor*predicted)}
+	return model{m.tokens*modelDecay + tokens, m.observed*modelDecay + min(max(float64(took), minFactor*predicted), maxFactor*predicted)}
 }
 
 // factor returns the time that the engine takes relative to the rate of its shard; 1 is usual and 2 takes twice as long.
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -51,12 +51,26 @@
 type lab struct {
 	state   assign.State
 	engines map[string]*labEngine
-	// arrived holds the arrivals of the requests without a first event, times the times to the first event of the others.
-	arrived map[uint64]hoist.Millis
-	times   []hoist.Millis
-	refused int
+	// times are the times to the first event, and late is the number of first events after the deadline.
+	times []hoist.Millis
+	late  int
+	// granted and refused are the requests with these decisions, by the IDs of their first attempts if callers return.
+	granted, refused []decision
+	// returns is set if refused callers return once, after the time that the refusal says.
+	returns  bool
+	returned []value.Work
 }
 
+// decision is a decision about a request.
+type decision struct {
+	work   value.Work
+	at     hoist.Millis
+	reason assign.Reason
+}
+
+// returnedID is added to the ID of a request whose caller returns.
+const returnedID = 1 << 32
+
 // decide applies an event and passes the granted requests to the engines.
 func (l *lab) decide(e assign.Event, now hoist.Millis, works map[uint64]value.Work) {
 	var effects []assign.Effect
@@ -67,8 +81,16 @@
 			g := l.engines[x.Server.Id()]
 			g.queue = append(g.queue, works[x.ID])
 			g.tokens += labTokens(works[x.ID])
+			l.granted = append(l.granted, decision{work: works[x.ID], at: now})
 		case assign.Refuse:
-			l.refused++
+			w := works[x.ID]
+			l.refused = append(l.refused, decision{w, now, x.Reason})
+			if l.returns && w.Id() < returnedID {
+				w = w.WithId(w.Id() + returnedID).WithArrivedMs(int64(now + x.After))
+				works[w.Id()] = w
+				l.returned = append(l.returned, w)
+				slices.SortStableFunc(l.returned, func(a, b value.Work) int { return cmp.Compare(a.ArrivedMs(), b.ArrivedMs()) })
+			}
 		case assign.Queued:
 		}
 	}
@@ -89,10 +111,18 @@
 		for _, n := range names {
 			if id := l.engines[n].step(now); id != 0 {
 				l.times = append(l.times, now-hoist.Millis(byID[id].ArrivedMs()))
+				if now > hoist.Millis(byID[id].EndMs()) {
+					l.late++
+				}
 				l.decide(assign.Responded{ID: id}, now, byID)
 				l.decide(assign.Finished{ID: id, Result: assign.ResultOK}, now, byID)
 			}
 		}
+		for len(l.returned) > 0 && hoist.Millis(l.returned[0].ArrivedMs()) <= now {
+			w := l.returned[0]
+			l.returned = l.returned[1:]
+			l.decide(assign.Submitted{Work: w}, now, byID)
+		}
 		for len(works) > 0 && hoist.Millis(works[0].ArrivedMs()) <= now {
 			l.decide(assign.Submitted{Work: works[0]}, now, byID)
 			works = works[1:]
@@ -101,13 +131,13 @@
 }
 
 // newLab returns a lab with engines in data centre x; speeds multiply the processing time at the usual rate.
-func newLab(rules assign.Rules, rate float64, speeds ...float64) *lab {
-	l := &lab{state: assign.New(), engines: map[string]*labEngine{}, arrived: map[uint64]hoist.Millis{}}
+func newLab(rules assign.Rules, slots int32, rate float64, speeds ...float64) *lab {
+	l := &lab{state: assign.New(), engines: map[string]*labEngine{}}
 	var list []value.BackendServer
 	for i, f := range speeds {
 		id := fmt.Sprintf("s%02d", i)
 		l.engines[id] = &labEngine{rate: rate / f}
-		list = append(list, value.BackendServer{}.WithId(id).WithDatacentre("x").WithSlots(64))
+		list = append(list, value.BackendServer{}.WithId(id).WithDatacentre("x").WithSlots(slots))
 	}
 	l.state, _ = l.state.Decide(assign.ServersUpdated{Servers: value.ListOf(list...)}, 0)
 	l.state, _ = l.state.Decide(assign.RulesChanged{Rules: rules}, 0)
@@ -135,7 +165,7 @@
 		capacity += rate / f
 	}
 	shares := func(rules assign.Rules) (slow, fast float64, mean float64) {
-		l := newLab(rules, rate, speeds...)
+		l := newLab(rules, 64, rate, speeds...)
 		l.run(steady(tokens, tokens/(capacity*load), end), end)
 		var total float64
 		for _, e := range l.engines {
--- a/assign/state.go
+++ b/assign/state.go
@@ -19,6 +19,7 @@
 	retryBudget retry.Bucket
 	retryLimits RetryLimits
 	rules       Rules
+	refusals    refusals
 }
 
 // New returns the state of a shard without servers.
@@ -171,9 +172,13 @@
 		}
 	}
 	if !s.isQueued(w.Id()) {
+		var refusal []Effect
+		if s, refusal = s.refuseEarly(w, now); len(refusal) > 0 {
+			return s, refusal
+		}
 		var ok bool
 		if s, ok = s.charged(w); !ok {
-			return s, []Effect{Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), RetryLimit}}
+			return s, []Effect{Refuse{ID: w.Id(), Origin: w.Origin(), After: RetryAfter(hoist.Millis(w.EndMs()), now), Reason: RetryLimit}}
 		}
 	}
 	s = s.withoutWaiting(w.Id())
@@ -312,7 +317,7 @@
 			expected := s.expectedTokens(s.servers.At(at), w, basis.UncachedTokens, now)
 			s = s.withPlaced(at, run{work: w, uncached: basis.UncachedTokens, placedAt: now, expectedTokens: expected}, now)
 		case now >= queueDeadline(w) || !s.hasUsableServer(w):
-			effects = append(effects, Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), s.rejectReason(w)})
+			effects = append(effects, Refuse{ID: w.Id(), Origin: w.Origin(), After: RetryAfter(hoist.Millis(w.EndMs()), now), Reason: s.rejectReason(w)})
 		default:
 			i++
 			continue
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -111,7 +111,7 @@
 			WithFresh(x.Basis.UncachedTokens).WithUnread(x.Basis.PendingTokens).WithRunning(int32(x.Basis.Running))
 	case assign.Refuse:
 		origin = x.Origin
-		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictRefused).WithAfterMs(int64(x.After)).WithOverload(x.Reason == assign.Overload)
+		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictRefused).WithAfterMs(int64(x.After)).WithOverload(x.Reason == assign.Overload || x.Reason.Early())
 	case assign.Queued:
 		origin = x.Origin
 		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictQueued)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -376,7 +376,8 @@
 func (j *job) work(id uint64) value.Work {
 	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
 		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.Deadline)).WithAvoid(j.avoid).
-		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint)
+		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint).
+		WithWorkspace(j.workspace.Name())
 }
 
 // finish carries out the last step of the request.
