assign: Keep work at home, order plain queues by time left, and share error rates

Cause: a server in another data centre costs 5 ms whatever the target, so that small differences of load send prompts over the link. The queue of a plain service ignores how much time is left. Three errors in a row back a plain server off also if all servers of the service have the same errors.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -20,7 +20,7 @@
 				continue
 			}
 			uncached, recomputed := s.uncached(w, x, now)
-			if c := cost(x, w, uncached, recomputed, s.scale(x, rate), now); c < lowestCost {
+			if c := cost(x, w, uncached, recomputed, s.scale(x, w, rate), now); c < lowestCost {
 				best, estimate, lowestCost = i, Estimate{UncachedTokens: uncached, PendingTokens: x.pendingTokens(), Running: x.runs.Len()}, c
 			}
 		}
@@ -68,7 +68,7 @@
 		c += float64(excess) * slotWaitMs * scale.factor
 	}
 	if x.entry.Datacentre() != w.Datacentre() {
-		c += remoteCostMs
+		c += scale.remote
 	}
 	return c + float64(x.entry.ColdMs()>>coldStartShift)
 }
--- a/assign/constants.go
+++ b/assign/constants.go
@@ -33,7 +33,7 @@
 	plainRequestsPerSlot = 2
 	// slotWaitMs is the wait for each request beyond the number of slots.
 	slotWaitMs = 60
-	// remoteCostMs is the round trip to a remote data centre plus the price of its link.
+	// remoteCostMs is the least cost of a server in another data centre: the round trip there plus the price of its link.
 	remoteCostMs = 5
 	// coldStartShift scales the remaining cold time of a server to a cost: the time is divided by 2^coldStartShift.
 	coldStartShift = 4
--- a/assign/model.go
+++ b/assign/model.go
@@ -66,14 +66,16 @@
 	rate float64
 	// factor multiplies the terms of the queue of the server.
 	factor float64
+	// remote is the cost of a server in another data centre.
+	remote float64
 }
 
-// scale returns the scale of the costs at the server. Without the rules for limited engines it is constant.
-func (s State) scale(x server, rate float64) costScale {
+// scale returns the scale of the costs of the request at the server. Without the rules for limited engines it is constant.
+func (s State) scale(x server, w value.Work, rate float64) costScale {
 	if !s.rules.Engines {
-		return costScale{rate, 1}
+		return costScale{rate, 1, s.remoteCost(w)}
 	}
-	return costScale{rate, x.model.factor(rate)}
+	return costScale{rate, x.model.factor(rate), s.remoteCost(w)}
 }
 
 // expectedTokens returns the prompt tokens that the server computes before the first event of the request, multiplied by
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -65,6 +65,7 @@
 type decision struct {
 	work   value.Work
 	at     hoist.Millis
+	server string
 	reason assign.Reason
 }
 
@@ -81,10 +82,10 @@
 			g := l.engines[x.Server.Id()]
 			g.queue = append(g.queue, works[x.ID])
 			g.tokens += labTokens(works[x.ID])
-			l.granted = append(l.granted, decision{work: works[x.ID], at: now})
+			l.granted = append(l.granted, decision{work: works[x.ID], at: now, server: x.Server.Id()})
 		case assign.Refuse:
 			w := works[x.ID]
-			l.refused = append(l.refused, decision{w, now, x.Reason})
+			l.refused = append(l.refused, decision{work: w, at: now, reason: x.Reason})
 			if l.returns && w.Id() < returnedID {
 				w = w.WithId(w.Id() + returnedID).WithArrivedMs(int64(now + x.After))
 				works[w.Id()] = w
--- a/assign/server.go
+++ b/assign/server.go
@@ -44,6 +44,8 @@
 	pauses value.List[pause]
 	// model is what this state has learned of the speed of the server.
 	model model
+	// errorRate is the share of the last results that are errors.
+	errorRate float64
 }
 
 // pause is the time until which a server wants no requests from an instance.
--- a/assign/state.go
+++ b/assign/state.go
@@ -12,7 +12,7 @@
 // State is the immutable state of one shard: its servers, the requests running there, and the queue.
 type State struct {
 	servers value.List[server]
-	// waiting is the queue, ordered by rank and then by arrival.
+	// waiting is the queue, in the order of queueOrder.
 	waiting value.List[value.Work]
 	cache   promptCache
 	// retryBudget holds the retries that the state may still grant.
@@ -118,7 +118,7 @@
 			return x
 		})
 	case Finished:
-		s = s.withServerOf(e.ID, func(x server) server { return x.withoutRun(e.ID).withResult(e.Result, now) })
+		s = s.withFinished(e, now)
 	case ServersUpdated:
 		s = s.withServers(e.Servers)
 	case Placed:
@@ -134,7 +134,7 @@
 	case RetryLimitsChanged:
 		s = s.withRetryLimits(e.Limits)
 	case RulesChanged:
-		s.rules = e.Rules
+		s = s.withRules(e.Rules)
 	case Ticked:
 	}
 	s, more := s.schedule(now)
@@ -182,7 +182,7 @@
 		}
 	}
 	s = s.withoutWaiting(w.Id())
-	at, _ := slices.BinarySearchFunc(slices.Collect(s.waiting.All()), w, compareWork)
+	at, _ := slices.BinarySearchFunc(slices.Collect(s.waiting.All()), w, s.queueOrder())
 	s.waiting = s.waiting.Insert(at, w)
 	return s, nil
 }
