--- a/event/catalog.go
+++ b/event/catalog.go
@@ -102,6 +102,8 @@
 	ContentReleased    = Code{706, logrus.InfoLevel, "content is no longer quarantined, because a server has answered it or other content explains the crashes", "None."}
 	ServerLeaving      = Code{707, logrus.InfoLevel, "backend server has said in a response that it is leaving; it gets no new requests", "None."}
 	ServerPaused       = Code{708, logrus.InfoLevel, "backend server has refused a request and wants none from this instance for a time", "Check its load if it recurs."}
+	RefusedEarly       = Code{720, logrus.InfoLevel, "requests were refused early, because the engines of a shard are behind; the fields are the inputs of the last one", "Compare expected_ms with left_ms; add engines if it persists, or look at the workspace with the greatest excess."}
+	EnginesLearned     = Code{721, logrus.InfoLevel, "learned speeds of the engines of an owned shard", "Check an engine whose factor stays far from 1."}
 	RequestQuarantined = Code{702, logrus.WarnLevel, "request was rejected because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -118,7 +120,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused, RefusedEarly, EnginesLearned,
 		InvariantViolated,
 	}
 }
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -62,6 +62,8 @@
 	// retryLimits are the limits last passed to the state; limitsMu guards them.
 	limitsMu    sync.Mutex
 	retryLimits assign.RetryLimits
+	metrics     *Metrics
+	engineLog   engineLog
 	// rules are the rules last passed to the state; limitsMu guards them.
 	rules assign.Rules
 }
@@ -80,6 +82,7 @@
 			wake, e = nil, assign.Ticked{}
 		case <-reconcile:
 			d.sendReconciliation()
+			d.publishModels()
 			reconcile = d.clock.After(reconcileInterval)
 			continue
 		}
@@ -111,6 +114,9 @@
 			WithFresh(x.Basis.UncachedTokens).WithUnread(x.Basis.PendingTokens).WithRunning(int32(x.Basis.Running))
 	case assign.Refuse:
 		origin = x.Origin
+		if x.Reason.Early() {
+			d.recordRefusal(x)
+		}
 		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictRefused).WithAfterMs(int64(x.After)).WithOverload(x.Reason == assign.Overload || x.Reason.Early())
 	case assign.Queued:
 		origin = x.Origin
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/assign"
 )
 
 // otherWorkspacesLabel is the label used for all workspaces if there are more than maxWorkspaceLabels, which bounds
@@ -20,6 +21,9 @@
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
 	results   *prometheus.CounterVec
+	refused   *prometheus.CounterVec
+	rate      *prometheus.GaugeVec
+	factor    *prometheus.GaugeVec
 }
 
 // NewMetrics returns the metrics, registered in a new registry.
@@ -36,8 +40,17 @@
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "hoist", Name: "forward_total", Help: "Forwarded requests by rank and result.",
 		}, []string{"rank", "result"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "hoist", Name: "forward_refused_early_total", Help: "Requests that this instance refused early as the owner of a shard, by rank and reason.",
+		}, []string{"rank", "reason"}),
+		rate: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "hoist", Name: "engine_prompt_rate", Help: "Learned rate of an owned shard, in prompt tokens per millisecond and engine.",
+		}, []string{"shard"}),
+		factor: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "hoist", Name: "engine_factor", Help: "Learned time of an engine of an owned shard relative to the mean.",
+		}, []string{"shard", "server"}),
 	}
-	m.Registry.MustRegister(m.firstByte, m.duration, m.results)
+	m.Registry.MustRegister(m.firstByte, m.duration, m.results, m.refused, m.rate, m.factor)
 	return m
 }
 
@@ -46,6 +59,21 @@
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "hoist", Name: name, Help: help}, read))
 }
 
+// setModels sets the metrics of the learned models of a shard; engines that are gone are removed.
+func (m *Metrics) setModels(shard string, rate float64, models []assign.EngineModel) {
+	m.rate.WithLabelValues(shard).Set(rate)
+	m.factor.DeletePartialMatch(prometheus.Labels{"shard": shard})
+	for _, x := range models {
+		m.factor.WithLabelValues(shard, x.Server).Set(x.Factor)
+	}
+}
+
+// forgetModels removes the metrics of the learned models of a shard.
+func (m *Metrics) forgetModels(shard string) {
+	m.rate.DeleteLabelValues(shard)
+	m.factor.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
 // observe records one request.
 func (m *Metrics) observe(j *job, duration hoist.Millis) {
 	rank := rankLabel(j.rank)
--- a/relay/service.go
+++ b/relay/service.go
@@ -128,6 +128,7 @@
 	d := &dispatcher{
 		shard: shard, self: r.Settings.Name(), clock: r.Clock, log: r.Log, mesh: r.Mesh,
 		inbox: make(chan assign.Event, dispatcherInboxSize), waiters: &r.waiters, guard: r.guard, notices: &r.notices, done: r.ctx.Done(),
+		metrics: r.Metrics,
 	}
 	s := assign.New()
 	d.state.Store(&s)
