assign, relay: Bound what refused callers hold and forget refusals with the ownership

Cause: the prompts of refused callers count as ahead of new requests, so that many refusals in a small shard could keep its engines idle for callers who may not return. A former owner kept its records of refusals. Servers that may not run a request counted as free slots. Change: what refused callers hold counts as at most a quarter of the time left, a state that loses the ownership drops its records, and slots are those of eligible servers. Result: a test shows that more than 20 callers who are refused one after another return in the order of their first requests, apart from the spread, and that the first of them is served where a new caller is not.

--- a/assign/queue.go
+++ b/assign/queue.go
@@ -23,6 +23,10 @@
 
 // withRules returns a copy that follows the rules.
 func (s State) withRules(r Rules) State {
+	if !r.Owner {
+		// The next owner starts anew, and so does this one if it becomes the owner again.
+		s.refusals = refusals{}
+	}
 	s.rules = r
 	s.waiting = value.ListOf(slices.SortedFunc(s.waiting.All(), s.queueOrder())...)
 	return s
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -17,6 +17,9 @@
 	minReturnPart = 4
 	// returnGrace is the time after its return time for which a refused caller keeps its place.
 	returnGrace = 500 * hoist.Millis(1)
+	// promisedDivisor divides the time left to the longest time that counts as taken by callers who are about to return: they
+	// may not come, and engines would be idle meanwhile.
+	promisedDivisor = 4
 	// maxPromises bounds the callers that keep their places.
 	maxPromises = 128
 	// shareTimeDivisor divides the time left: where the first event is expected later than that, a workspace far above its
@@ -109,7 +112,7 @@
 		return s, nil
 	}
 	if reason == OverShare {
-		s.refusals.heldRank, s.refusals.heldAt = w.Rank(), now
+		s.refusals = s.refusals.withHeld(w.Rank(), now)
 	}
 	p := s.promised(w, in, uncached, now)
 	p.asked, p.reason, p.inputs = asked, reason, in
@@ -119,6 +122,19 @@
 	return s, []Effect{p.effect(w, now)}
 }
 
+// holds reports whether the rank has to give way to a higher one.
+func (r refusals) holds(rank int32, now hoist.Millis) bool {
+	return r.heldAt > 0 && now-r.heldAt < rankHold && rank > r.heldRank
+}
+
+// withHeld returns a copy in which a request of the rank was refused by share.
+func (r refusals) withHeld(rank int32, now hoist.Millis) refusals {
+	if !r.holds(rank, now) {
+		r.heldRank, r.heldAt = rank, now
+	}
+	return r
+}
+
 // effect returns the refusal of the request.
 func (p promise) effect(w value.Work, now hoist.Millis) Effect {
 	return Refuse{ID: w.Id(), Origin: w.Origin(), After: max(p.at-now, 1), Reason: p.reason, Inputs: p.inputs}
@@ -149,7 +165,7 @@
 	in = RefusalInputs{Left: hoist.Millis(w.EndMs()) - now, Rate: s.promptRate(), Waiting: s.waiting.Len(), Rank: w.Rank(), Workspace: w.Workspace()}
 	usable := 0
 	for x := range s.servers.All() {
-		if x.entry.Leaving() {
+		if !eligible(x, w) {
 			continue
 		}
 		usable++
@@ -179,7 +195,8 @@
 	if !known {
 		return in, 0, false
 	}
-	best += s.promisedTokens(w.Rank(), asked) / (in.Rate * float64(usable))
+	promised := s.promisedTokens(w.Rank(), asked) / (in.Rate * float64(usable))
+	best += min(promised, float64(max(in.Left, 0))/promisedDivisor)
 	in.Expected = hoist.Millis(min(best, float64(hoist.Minute)))
 	in.Excess = s.refusals.usages.excess(w, now)
 	return in, uncached, true
@@ -230,7 +247,7 @@
 		return NoTime, true
 	case in.Excess > shareExcess && in.Expected > in.Left/shareTimeDivisor:
 		return OverShare, true
-	case s.refusals.heldAt > 0 && now-s.refusals.heldAt < rankHold && w.Rank() > s.refusals.heldRank:
+	case s.refusals.holds(w.Rank(), now):
 		return HigherRank, true
 	default:
 		return 0, false
--- a/assign/refusal_test.go
+++ b/assign/refusal_test.go
@@ -147,3 +147,42 @@
 	Expect(l.refused).To(BeEmpty())
 	Expect(l.late).To(BeNumerically(">", 0))
 })
+
+// Pattern: callers are refused one after another and return when they are told to, while new ones ask. Guards against callers
+// that return at one moment or out of order, and against new callers that take the room for which earlier ones wait.
+var _ = It("lets refused callers return in the order of their first requests", func() {
+	l := newLab(owned, 2, 45, 1)
+	works := map[uint64]value.Work{}
+	ask := func(id uint64, fingerprint uint64, now, end hoist.Millis) []assign.Effect {
+		w := value.Work{}.WithId(id).WithOrigin("n").WithDatacentre("x").WithRank(2).WithArrivedMs(int64(now)).WithEndMs(int64(end)).
+			WithFingerprint(fingerprint).WithWorkspace("w").WithParts(value.ListOf(value.PromptPart{}.WithId(id).WithTokens(9000)))
+		works[id] = w
+		var effects []assign.Effect
+		l.state, effects = l.state.Decide(assign.Submitted{Work: w}, now)
+		return effects
+	}
+	var returns []hoist.Millis
+	for id := uint64(1); id <= 60; id++ {
+		now := 1000 + 5*hoist.Millis(id)
+		if x, refused := ask(id, id, now, now+5000)[0].(assign.Refuse); refused {
+			// Nobody is asked to wait for more than a third of the time left.
+			Expect(x.After).To(And(BeNumerically(">", 0), BeNumerically("<=", 5000/3)))
+			returns = append(returns, now+x.After)
+		}
+	}
+	Expect(len(returns)).To(BeNumerically(">", 20))
+	for i := 1; i < len(returns); i++ {
+		Expect(returns[i]).To(BeNumerically(">=", returns[i-1]-5000/48))
+	}
+	// A third of the backlog is gone when the first of them returns. That is enough for it, but not for a new caller after all
+	// who wait.
+	for id := uint64(1); id <= 8; id++ {
+		l.state, _ = l.state.Decide(assign.Finished{ID: id, Result: assign.ResultCancelled}, returns[0])
+	}
+	first := uint64(60 - len(returns) + 1)
+	isGrant := func(x assign.Effect) bool { _, ok := x.(assign.Grant); return ok }
+	// The first new caller passes by the allowance of its kind.
+	ask(1002, 998, returns[0], returns[0]+4000)
+	Expect(isGrant(ask(1000, 999, returns[0], returns[0]+4000)[0])).To(BeFalse())
+	Expect(isGrant(ask(1001, first, returns[0], returns[0]+4000)[0])).To(BeTrue())
+})
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -28,6 +28,9 @@
 	return r
 }
 
+// Rules returns the rules that the state follows.
+func (s State) Rules() Rules { return s.rules }
+
 // RulesChanged reports the rules that the state follows from now on.
 type RulesChanged struct{ Rules Rules }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -374,10 +374,14 @@
 
 // work returns the description of the request that the dispatcher needs.
 func (j *job) work(id uint64) value.Work {
-	return value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
+	w := value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
 		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.Deadline)).WithAvoid(j.avoid).
-		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint).
-		WithWorkspace(j.workspace.Name())
+		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint)
+	// Only the rules for limited engines divide the load by workspace; elsewhere, the name would only lengthen messages.
+	if j.dispatcher.state.Load().Rules().Engines {
+		w = w.WithWorkspace(j.workspace.Name())
+	}
+	return w
 }
 
 // finish carries out the last step of the request.
