--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -191,3 +191,26 @@
 	Entry("at 70% of the capacity", 0.7, 0.0, 0.19),
 	Entry("at 90% of the capacity", 0.9, 0.05, 0.19),
 )
+
+// Pattern: an owner that knows nothing places prompts at engines of three speeds near their capacity. Guards against a model
+// that takes longer than a few seconds to tell the speeds apart.
+var _ = It("learns the speeds within seconds", func() {
+	const rate, tokens, end = 42.8, 4000, 5000
+	speeds := []float64{0.6, 1.0, 1.6, 0.6, 1.0, 1.6}
+	capacity := 0.0
+	for _, f := range speeds {
+		capacity += rate / f
+	}
+	l := newLab(owned, 64, rate, speeds...)
+	l.run(steady(tokens, tokens/(capacity*0.95), end), end)
+	learned, models := l.state.Models()
+	fmt.Fprintf(GinkgoWriter, "rate %.1f, factors %v\n", learned, models)
+	for _, fast := range []int{0, 3} {
+		for _, usual := range []int{1, 4} {
+			for _, slow := range []int{2, 5} {
+				Expect(models[fast].Factor).To(BeNumerically("<", 0.9*models[usual].Factor))
+				Expect(models[usual].Factor).To(BeNumerically("<", 0.9*models[slow].Factor))
+			}
+		}
+	}
+})
