--- a/assign/refusal_test.go
+++ b/assign/refusal_test.go
@@ -186,3 +186,41 @@
 	Expect(isGrant(ask(1000, 999, returns[0], returns[0]+4000)[0])).To(BeFalse())
 	Expect(isGrant(ask(1001, first, returns[0], returns[0]+4000)[0])).To(BeTrue())
 })
+
+// Pattern: short prompts of all ranks and long prompts of the lowest rank arrive at four times the rate of the engines, all
+// with the same time left. Guards against long prompts, or a rank, of which no request is served at all.
+var _ = It("grants some requests of each kind under heavy overload", func() {
+	const end = 20000
+	l := newLab(owned, 4, 42.8, 1, 1, 1)
+	var works []value.Work
+	random := rand.New(rand.NewPCG(9, 10))
+	for t := 1.0; t < end; t += 8 {
+		id, rank, tokens := uint64(len(works)+1), random.Int32N(3), int32(2000)
+		if rank == 2 && random.IntN(2) == 0 {
+			tokens = 14000
+		}
+		works = append(works, value.Work{}.WithId(id).WithOrigin("n").WithDatacentre("x").WithRank(rank).WithTargetMs(1000).WithWorkspace(fmt.Sprint("w", random.IntN(8))).
+			WithArrivedMs(int64(t)).WithEndMs(int64(t)+3000).WithFingerprint(id).WithParts(value.ListOf(value.PromptPart{}.WithId(id).WithTokens(tokens))))
+	}
+	l.run(works, end)
+	type kind struct {
+		rank   int32
+		tokens int64
+	}
+	kinds := map[kind]map[hoist.Millis]int{{0, 2000}: {}, {1, 2000}: {}, {2, 2000}: {}, {2, 14000}: {}}
+	for _, d := range l.granted {
+		kinds[kind{d.work.Rank(), labTokens(d.work)}][d.at/2000]++
+	}
+	for k, seconds := range kinds {
+		for i := range hoist.Millis(end / 2000) {
+			Expect(seconds[i]).To(BeNumerically(">", 0), "kind %v from second %d", k, 2*i)
+		}
+	}
+	refusedOf := map[int32]int{}
+	for _, d := range l.refused {
+		refusedOf[d.work.Rank()]++
+	}
+	fmt.Fprintf(GinkgoWriter, "refused by rank %v, in time %d, late %d\n", refusedOf, l.inTime(), l.late)
+	Expect(refusedOf[0]).To(BeNumerically("<", refusedOf[1]))
+	Expect(refusedOf[1]).To(BeNumerically("<=", refusedOf[2]))
+})
