assign: Learn how much later first events of low ranks come

Cause: the expected time to the first event leaves out requests of higher ranks that arrive afterwards, so that low ranks are granted what ends late. Change: the state learns for each rank the time to the first event against the predicted one.

--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -218,7 +218,7 @@
 // timeToFirst returns the expected time to the first event of the request at the server, in milliseconds.
 func (s State) timeToFirst(x server, w value.Work, uncached int32, rate float64, now hoist.Millis) float64 {
 	f := x.model.factor(rate)
-	t := f * x.slowness(now) * (x.tokensAhead(w.Rank()) + float64(uncached)) / rate
+	t := f * s.delay(w.Rank()) * x.slowness(now) * (x.tokensAhead(w.Rank()) + float64(uncached)) / rate
 	if excess := x.runs.Len() + 1 - int(x.entry.Slots()); excess > 0 && x.entry.Slots() > 0 {
 		t += f * float64(excess) * slotWaitMs
 	}
--- a/assign/state.go
+++ b/assign/state.go
@@ -20,6 +20,8 @@
 	retryLimits RetryLimits
 	rules       Rules
 	refusals    refusals
+	// delays are the learned delays of ranks.
+	delays value.List[rankDelay]
 }
 
 // New returns the state of a shard without servers.
@@ -110,13 +112,16 @@
 	case Cancelled:
 		s = s.withoutWaiting(e.ID)
 	case Responded:
+		rate, learned := s.promptRate(), s
 		s = s.withServerOf(e.ID, func(x server) server {
-			x = x.withSample(e.ID, s.promptRate(), now).withResponse(e.ID)
+			learned = s.withDelay(x, e.ID, rate, now)
+			x = x.withSample(e.ID, rate, now).withResponse(e.ID)
 			if e.Loaded {
 				x = x.withLoad(e.Load, now)
 			}
 			return x
 		})
+		s.delays = learned.delays
 	case Finished:
 		s = s.withFinished(e, now)
 	case ServersUpdated:
