--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -28,8 +28,8 @@
 	return n
 }
 
-// servers parses servers of the form ID:DATACENTRE:SLOTS, with the suffixes :leaving and :evacuated; a data centre may be
-// followed by its region, as in x@north.
+// servers parses servers of the form ID:DATACENTRE:SLOTS, with the suffixes :leaving, :evacuated, and :born=TIME for one that
+// started at the time; a data centre may be followed by its region, as in x@north.
 func servers(fields []string) value.List[value.BackendServer] {
 	var list []value.BackendServer
 	for _, f := range fields {
@@ -37,6 +37,9 @@
 		datacentre, region, _ := strings.Cut(p[1], "@")
 		list = append(list, value.BackendServer{}.WithId(p[0]).WithDatacentre(datacentre).WithRegion(region).WithSlots(int32(number(p[2]))).
 			WithLeaving(slices.Contains(p[3:], "leaving")).WithEvacuated(slices.Contains(p[3:], "evacuated")))
+		if len(p) > 3 && strings.HasPrefix(p[3], "born=") {
+			list[len(list)-1] = list[len(list)-1].WithBorn(number(strings.TrimPrefix(p[3], "born=")))
+		}
 	}
 	return value.ListOf(list...)
 }
@@ -45,7 +48,8 @@
 func work(l golden.Line) value.Work {
 	w := value.Work{}.WithId(uint64(l.Int("id"))).WithRank(int32(l.Int("rank"))).WithArrivedMs(l.Int("at")).WithTargetMs(250).
 		WithEndMs(l.Int("at") + 5000).WithAvoid(value.ListOf(l.List("avoid")...)).WithOrigin(l.Text("from")).WithDatacentre("x").
-		WithRetry(l.Has("retry")).WithRegions(value.ListOf(l.List("regions")...))
+		WithRetry(l.Has("retry")).WithRegions(value.ListOf(l.List("regions")...)).
+		WithWorkspace(l.Text("workspace")).WithFingerprint(uint64(l.Int("fingerprint")))
 	if l.Has("end") {
 		w = w.WithEndMs(l.Int("end"))
 	}
@@ -90,7 +94,7 @@
 	case "submit":
 		return assign.Submitted{Work: work(l)}
 	case "responded":
-		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness")))
+		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness"))).WithWaiting(int32(l.Int("waiting")))
 		return assign.Responded{ID: id, Load: load, Loaded: l.Has("slowness")}
 	case "finished":
 		return assign.Finished{ID: id, Result: results[l.Text("result")]}
@@ -111,6 +115,8 @@
 		return assign.RetryLimitsChanged{Limits: assign.OwnerRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")))}
 	case "local-limits":
 		return assign.RetryLimitsChanged{Limits: assign.LocalRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")), int(l.Int("instances")))}
+	case "rules":
+		return assign.RulesChanged{Rules: assign.Rules{Engines: l.Has("engines"), Plain: l.Has("plain"), Owner: l.Has("owner")}}
 	case "tick":
 		return assign.Ticked{}
 	default:
@@ -124,6 +130,9 @@
 	case assign.Grant:
 		return fmt.Sprintf("grant %d at %s uncached=%d pending=%d running=%d", e.ID, e.Server.Id(), e.Basis.UncachedTokens, e.Basis.PendingTokens, e.Basis.Running)
 	case assign.Refuse:
+		if i := e.Inputs; e.Reason.Early() {
+			return fmt.Sprintf("reject %d after=%d %s expected=%d left=%d taken=%d/%d waiting=%d excess=%.1f", e.ID, e.After, e.Reason, i.Expected, i.Left, i.Taken, i.Slots, i.Waiting, i.Excess)
+		}
 		return fmt.Sprintf("reject %d after=%d %s", e.ID, e.After, e.Reason)
 	case assign.Queued:
 		return fmt.Sprintf("queued %d", e.ID)
@@ -134,6 +143,16 @@
 	}
 }
 
+// showModels formats the learned models.
+func showModels(s assign.State) string {
+	rate, models := s.Models()
+	out := fmt.Sprintf("rate=%.1f", rate)
+	for _, m := range models {
+		out += fmt.Sprintf(" %s=%.2f", m.Server, m.Factor)
+	}
+	return out
+}
+
 // Guards against transitions that grant a leaving, evacuated, failing or overloaded server while a better one is available, or
 // one outside the regions of the request, that lose or duplicate a request, or that reject a request which could run.
 var _ = DescribeTable("scripts", func(c golden.Case) {
@@ -146,6 +165,9 @@
 		if l.Verb == "cold-for" {
 			return fmt.Sprintf("cold for=%d", s.ColdFor(l.Text("server"), hoist.Millis(l.Int("at"))))
 		}
+		if l.Verb == "model" {
+			return showModels(s)
+		}
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
 		var out strings.Builder
--- a/assign/state.go
+++ b/assign/state.go
@@ -13,7 +13,7 @@
 // State is the immutable state of one shard: its servers, the requests running there, and the queue.
 type State struct {
 	servers value.List[server]
-	// waiting is the queue, ordered by rank and then by arrival.
+	// waiting is the queue, in the order of queueOrder.
 	waiting value.List[value.Work]
 	cache   promptCache
 	// retryBudget holds the retries that the state may still grant.
@@ -24,6 +24,10 @@
 	learned bool
 	// heldBack is the number of queued requests that only the limits on cold servers hold back.
 	heldBack int
+	rules    Rules
+	refusals refusals
+	// delays are the learned delays of ranks.
+	delays value.List[rankDelay]
 }
 
 // New returns the state of a shard without servers.
@@ -125,15 +129,18 @@
 	case Cancelled:
 		s = s.withoutWaiting(e.ID)
 	case Responded:
+		rate, learned := s.promptRate(), s
 		s = s.withServerOf(e.ID, func(x server) server {
-			x = x.withFirstResponse(e.ID, s.coldLimits, now).withResponse(e.ID)
+			learned = s.withDelay(x, e.ID, rate, now)
+			x = x.withFirstResponse(e.ID, s.coldLimits, now).withSample(e.ID, rate, now).withResponse(e.ID)
 			if e.Loaded {
 				x = x.withLoad(e.Load, now)
 			}
 			return x
 		})
+		s.delays = learned.delays
 	case Finished:
-		s = s.withServerOf(e.ID, func(x server) server { return x.withoutRun(e.ID).withResult(e.Result, now) })
+		s = s.withFinished(e, now)
 	case ServersUpdated:
 		s, effects = s.withServers(e, now).withTakenCold(s, now)
 	case Placed:
@@ -154,6 +161,8 @@
 		s, effects = s.withDown(e.Server, now).withTakenCold(s, now)
 	case ColdLimitsChanged:
 		s.coldLimits = e.Limits
+	case RulesChanged:
+		s = s.withRules(e.Rules)
 	case Ticked:
 	}
 	s, more := s.schedule(now)
@@ -191,13 +200,17 @@
 		}
 	}
 	if !s.isQueued(w.Id()) {
+		var refusal []Effect
+		if s, refusal = s.refuseEarly(w, now); len(refusal) > 0 {
+			return s, refusal
+		}
 		var ok bool
 		if s, ok = s.charged(w); !ok {
-			return s, []Effect{Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), RetryLimit}}
+			return s, []Effect{Refuse{ID: w.Id(), Origin: w.Origin(), After: RetryAfter(hoist.Millis(w.EndMs()), now), Reason: RetryLimit}}
 		}
 	}
 	s = s.withoutWaiting(w.Id())
-	at, _ := slices.BinarySearchFunc(slices.Collect(s.waiting.All()), w, compareWork)
+	at, _ := slices.BinarySearchFunc(slices.Collect(s.waiting.All()), w, s.queueOrder())
 	s.waiting = s.waiting.Insert(at, w)
 	return s, nil
 }
@@ -331,9 +344,10 @@
 		switch {
 		case at >= 0:
 			effects = append(effects, Grant{w.Id(), w.Origin(), s.servers.At(at).entry, basis})
-			s = s.withPlaced(at, run{work: w, uncached: basis.UncachedTokens, placedAt: now}, now)
+			expected := s.expectedTokens(s.servers.At(at), w, basis.UncachedTokens, now)
+			s = s.withPlaced(at, run{work: w, uncached: basis.UncachedTokens, placedAt: now, expectedTokens: expected}, now)
 		case now >= queueDeadline(w) || !s.hasUsableServer(w):
-			effects = append(effects, Refuse{w.Id(), w.Origin(), RetryAfter(hoist.Millis(w.EndMs()), now), s.rejectReason(w)})
+			effects = append(effects, Refuse{ID: w.Id(), Origin: w.Origin(), After: RetryAfter(hoist.Millis(w.EndMs()), now), Reason: s.rejectReason(w)})
 		default:
 			if s.isHeldBack(w, now) {
 				s.heldBack++
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -63,6 +63,10 @@
 	limitsMu    sync.Mutex
 	retryLimits assign.RetryLimits
 	coldLimits  assign.ColdLimits
+	metrics     *Metrics
+	engineLog   engineLog
+	// rules are the rules last passed to the state; limitsMu guards them.
+	rules assign.Rules
 }
 
 // run processes events until the dispatcher is stopped.
@@ -79,6 +83,7 @@
 			wake, e = nil, assign.Ticked{}
 		case <-reconcile:
 			d.sendReconciliation()
+			d.publishModels()
 			reconcile = d.clock.After(reconcileInterval)
 			continue
 		}
@@ -110,7 +115,10 @@
 			WithFresh(x.Basis.UncachedTokens).WithUnread(x.Basis.PendingTokens).WithRunning(int32(x.Basis.Running))
 	case assign.Refuse:
 		origin = x.Origin
-		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictRefused).WithAfterMs(int64(x.After)).WithOverload(x.Reason == assign.Overload)
+		if x.Reason.Early() {
+			d.recordRefusal(x)
+		}
+		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictRefused).WithAfterMs(int64(x.After)).WithOverload(x.Reason == assign.Overload || x.Reason.Early())
 	case assign.Queued:
 		origin = x.Origin
 		a = a.WithId(x.ID).WithVerdict(value.PlaceVerdictQueued)
@@ -182,6 +190,19 @@
 	}
 }
 
+// updateRules passes the changed rules of the decisions about the shard to the state. Owner is set here.
+func (d *dispatcher) updateRules(change func(assign.Rules) assign.Rules) {
+	d.limitsMu.Lock()
+	defer d.limitsMu.Unlock()
+	r := change(d.rules)
+	r.Owner = *d.owner.Load() == d.self
+	// A state that has no rules besides those of every service needs no event when its owner changes.
+	if (r.Engines || r.Plain || d.rules.Engines || d.rules.Plain) && d.rules != r {
+		d.rules = r
+		d.post(assign.RulesChanged{Rules: r})
+	}
+}
+
 // responseBufferSize is the number of placement responses that are buffered for one request: a few copies of each
 // verdict.
 const responseBufferSize = 8
--- a/relay/service.go
+++ b/relay/service.go
@@ -12,6 +12,7 @@
 	"chicoryhoist.example/hoist/feed"
 	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/retry"
+	"chicoryhoist.example/hoist/route"
 	"chicoryhoist.example/hoist/value"
 )
 
@@ -63,6 +64,7 @@
 			u.Kept = keptServers(old, v)
 		}
 		next[n] = r.withShards(n, s, spec, u)
+		r.setRules(n, next[n], v.Table)
 	}
 	r.services.Store(&next)
 	hoist.Update(&r.notices, func(n assign.Notices) assign.Notices { return n.Retained(v.Servers) })
@@ -116,6 +118,18 @@
 	}
 }
 
+// setRules passes the rules of the service in the table to its dispatchers. Without a table, or for a service that the table
+// does not describe, the rules in force stay.
+func (r *Relay) setRules(name string, s *service, t *route.Table) {
+	if t == nil {
+		return
+	}
+	rules := assign.RulesFor(name, t.Specs(), r.Settings.Balance().MaxSlots())
+	for _, d := range s.dispatchers {
+		d.updateRules(func(assign.Rules) assign.Rules { return rules })
+	}
+}
+
 // retryPermille returns the number of retries that a thousand requests earn; more than one retry of each request serves
 // nobody.
 func (r *Relay) retryPermille() int64 {
@@ -127,6 +141,7 @@
 	d := &dispatcher{
 		shard: shard, self: r.Settings.Name(), clock: r.Clock, log: r.Log, mesh: r.Mesh,
 		inbox: make(chan assign.Event, dispatcherInboxSize), waiters: &r.waiters, guard: r.guard, notices: &r.notices, done: r.ctx.Done(),
+		metrics: r.Metrics,
 	}
 	s := assign.New()
 	d.state.Store(&s)
@@ -175,6 +190,7 @@
 	for _, s := range *r.services.Load() {
 		for _, d := range s.dispatchers {
 			d.setOwner(ownerOf(v, d.shard))
+			d.updateRules(func(x assign.Rules) assign.Rules { return x })
 			for _, n := range lost {
 				d.post(assign.InstanceLost{Origin: n})
 			}
