feed: Recognize an outage that content of other instances interrupts

Cause: content of an instance that has not noticed an outage of the store yet ends a series of failed requests, so the time since the last of them may be shorter than the outage, and running servers whose entries lapsed would be dropped. Change: content that is 2,500 ms old at the recovery counts as an outage as well.

--- a/feed/lapse.go
+++ b/feed/lapse.go
@@ -11,6 +11,10 @@
 	// minLapseOutage is the shortest outage of the store in which the entry of a running server may lapse. A running server
 	// writes its entry about every 1,200 ms, so in a shorter outage it misses at most one write.
 	minLapseOutage = 1200 * hoist.Millis(1)
+	// maxAgeWithoutOutage is the age of the content at a recovery from which the store was away for that long: content of another
+	// instance that has not noticed the outage interrupts a series of failures, but does not confirm anything newer. Below it,
+	// the age follows from one watch that ended, one that was cut, and the intervals between instances.
+	maxAgeWithoutOutage = 2500 * hoist.Millis(1)
 )
 
 // mayHaveLapsed reports whether the store may be wrong about a removed entry: the server runs, but could not write its entry
@@ -35,9 +39,10 @@
 	return s
 }
 
-// recovered returns a copy after a response. Only an outage of at least minLapseOutage leaves a time of return behind.
+// recovered returns a copy after a response. Only an outage in which entries may have lapsed leaves a time of return
+// behind.
 func (s State) recovered(now hoist.Millis) State {
-	if s.unreachable && now-s.unreachableSince >= minLapseOutage {
+	if s.unreachable && (now-s.unreachableSince >= minLapseOutage || now-s.confirmedAt >= maxAgeWithoutOutage) {
 		s.reachableSince = now
 	}
 	s.unreachable = false
