assign, relay: Bound the placements of instances without an owner

Cause: instances that reach no owner choose the best of all servers by what they know themselves, which is the same for all of them, or nothing. Change: where a service is balanced by load, such an instance takes the better of two random servers by the expected end, counts what servers report of the requests of others, and adds at most two requests to a server between two of its reports.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -85,7 +85,7 @@
 	case "submit":
 		return assign.Submitted{Work: work(l)}
 	case "responded":
-		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness")))
+		load := value.ServerLoad{}.WithSlowness(int32(l.Int("slowness"))).WithWaiting(int32(l.Int("reported-waiting")))
 		return assign.Responded{ID: id, Load: load, Loaded: l.Has("slowness")}
 	case "finished":
 		return assign.Finished{ID: id, Result: results[l.Text("result")]}
@@ -106,6 +106,8 @@
 		return assign.RetryLimitsChanged{Limits: assign.OwnerRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")))}
 	case "local-limits":
 		return assign.RetryLimitsChanged{Limits: assign.LocalRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")), int(l.Int("instances")))}
+	case "local":
+		return assign.LocalPlacementChanged{Local: l.Has("on")}
 	case "tick":
 		return assign.Ticked{}
 	default:
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -11,6 +11,9 @@
 // index is -1 if the request has to wait. The second pass considers the servers that are backed off, so they are used
 // only if no other server can take the request.
 func (s State) choose(w value.Work, now hoist.Millis) (int, Estimate) {
+	if s.local {
+		return s.chooseLocal(w, now)
+	}
 	best, estimate, lowestCost := -1, Estimate{}, math.Inf(1)
 	for pass := range 2 {
 		for i := range s.servers.Len() {
--- a/assign/state.go
+++ b/assign/state.go
@@ -18,6 +18,8 @@
 	// retryBudget holds the retries that the state may still grant.
 	retryBudget retry.Bucket
 	retryLimits RetryLimits
+	// local is set if the state places only requests of its own instance that reach no owner; see LocalPlacementChanged.
+	local bool
 }
 
 // New returns the state of a shard without servers.
@@ -131,6 +133,8 @@
 		s = s.withServer(e.Server, func(x server) server { return x.withPause(e.Origin, e.Until, now) })
 	case RetryLimitsChanged:
 		s = s.withRetryLimits(e.Limits)
+	case LocalPlacementChanged:
+		s.local = e.Local
 	case Ticked:
 	}
 	s, more := s.schedule(now)
--- a/relay/balance_test.go
+++ b/relay/balance_test.go
@@ -112,6 +112,7 @@
 		}
 		for _, d := range (*r.services.Load())["llm"].dispatchers {
 			g.Expect(d.balanced.Load()).To(gomega.BeFalse())
+			g.Expect(d.local).To(gomega.BeFalse())
 		}
 	}
 }
@@ -173,7 +174,8 @@
 }
 
 // TestShardLoadInAnswers guards against an owner that keeps its load to itself, and against an instance that states the load
-// of a shard that it does not own, of which it knows only its own requests.
+// of a shard that it does not own, of which it knows only its own requests; also against one that places requests for an
+// owner without the bounds of LocalPlacementChanged.
 func TestShardLoadInAnswers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r, m := balancedRelay(t, 64)
@@ -188,8 +190,11 @@
 	g.Eventually(func() int { return len(m.answersOf(value.PlaceVerdictGranted)) }).Should(gomega.Equal(1))
 	g.Expect(m.answersOf(value.PlaceVerdictGranted)[0].Load()).To(gomega.Equal(value.ShardLoad{}))
 
+	g.Expect(d.local).To(gomega.BeTrue())
 	name := "n1"
 	d.owner.Store(&name)
+	r.limitRetries((*r.services.Load())["llm"])
+	g.Expect(d.local).To(gomega.BeFalse())
 	submit(2, hoist.Second)
 	g.Eventually(func() int { return len(m.answersOf(value.PlaceVerdictGranted)) }).Should(gomega.Equal(2))
 	load := m.answersOf(value.PlaceVerdictGranted)[1].Load()
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -71,6 +71,8 @@
 	// retryLimits are the limits last passed to the state; limitsMu guards them.
 	limitsMu    sync.Mutex
 	retryLimits assign.RetryLimits
+	// local is whether the state was told that it places only requests of this instance; limitsMu guards it.
+	local bool
 }
 
 // run processes events until the dispatcher is stopped.
@@ -185,7 +187,8 @@
 	}
 }
 
-// limitRetries sets the limits of the retries that this instance grants as the owner of the shard, and otherwise.
+// limitRetries sets the limits of the retries that this instance grants as the owner of the shard, and otherwise. It also
+// tells the state whether it decides for the owner.
 func (d *dispatcher) limitRetries(owner, local assign.RetryLimits) {
 	d.limitsMu.Lock()
 	defer d.limitsMu.Unlock()
@@ -193,6 +196,10 @@
 	if *d.owner.Load() == d.self {
 		l = owner
 	}
+	if local := d.balanced.Load() && *d.owner.Load() != d.self; d.local != local {
+		d.local = local
+		d.post(assign.LocalPlacementChanged{Local: local})
+	}
 	if d.retryLimits != l {
 		d.retryLimits = l
 		d.post(assign.RetryLimitsChanged{Limits: l})
