docs, spread: Describe how load is evened from old knowledge

Cause: the choice of the shard by load and the bounds without an owner lack their reasons and figures. An instance takes loads only for the shard that it asked, and only where the service is balanced by load.

--- a/relay/balance.go
+++ b/relay/balance.go
@@ -87,8 +87,8 @@
 // learnLoad records the load of the shard in the answer to a placement request that was first sent at the time. The
 // load may be older by statedLoadTTL, which is short against the time between two answers.
 func (j *job) learnLoad(a value.PlaceAnswer, sentAt hoist.Millis) {
-	if a.Load().Servers() > 0 {
-		hoist.Update(&j.loads, func(l spread.Loads) spread.Loads { return l.WithReport(a.Shard(), a.Load(), sentAt) })
+	if d := j.dispatcher; a.Load().Servers() > 0 && d.balanced.Load() {
+		hoist.Update(&j.loads, func(l spread.Loads) spread.Loads { return l.WithReport(d.shard, a.Load(), sentAt) })
 	}
 }
 
--- a/spread/choose.go
+++ b/spread/choose.go
@@ -4,8 +4,8 @@
 
 const (
 	// settleTime is the time in which a difference of load is to disappear. If all instances know the same loads, they
-	// together move the share difference/settleTime of the requests, and not all at once. In the tests, 250 to 500 ms leave the
-	// fewest requests late; from 1,000 ms on, a shard of slow servers stays overloaded.
+	// together move the share difference/settleTime of the requests, and not all at once. In the models of the tests, 250 and
+	// 500 ms leave the fewest requests late, and 2,000 ms leave a shard of slow servers overloaded.
 	settleTime = 500 * hoist.Millis(1)
 	// maxMoved bounds the share of the requests of a shard that leave it, also if its load or that of the other is
 	// reported falsely.
