--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -117,6 +117,8 @@
 		return assign.RetryLimitsChanged{Limits: assign.LocalRetryLimits(float64(l.Int("slack")), l.Int("permille"), int(l.Int("shards")), int(l.Int("instances")))}
 	case "rules":
 		return assign.RulesChanged{Rules: assign.Rules{Engines: l.Has("engines"), Plain: l.Has("plain"), Owner: l.Has("owner")}}
+	case "local":
+		return assign.LocalPlacementChanged{Local: l.Has("on")}
 	case "tick":
 		return assign.Ticked{}
 	default:
@@ -168,6 +170,10 @@
 		if l.Verb == "model" {
 			return showModels(s)
 		}
+		if l.Verb == "load" {
+			x := s.Load(hoist.Millis(l.Int("at")))
+			return fmt.Sprintf("servers=%d pending=%.0f waiting=%d", x.Servers(), x.PendingMs(), x.Waiting())
+		}
 		var effects []assign.Effect
 		s, effects = s.Decide(decode(l), hoist.Millis(l.Int("at")))
 		var out strings.Builder
--- a/assign/rules.go
+++ b/assign/rules.go
@@ -12,13 +12,20 @@
 	Owner bool
 }
 
-// RulesFor returns the rules of a service, without Owner, of a table with the given services. Engines count as limited if
-// they have between 1 and maxSlots slots.
-func RulesFor(service string, specs value.List[value.ServiceSpec], maxSlots int32) Rules {
+// Limited reports whether the servers of the service are engines with little room: few slots, and little memory for each.
+func Limited(x value.ServiceSpec, b value.ForwardBalance) bool {
+	if x.EngineSlots() < 1 || x.EngineSlots() > b.MaxSlots() {
+		return false
+	}
+	return b.MaxSlotTokens() == 0 || x.EngineMemoryTokens() <= int64(b.MaxSlotTokens())*int64(x.EngineSlots())
+}
+
+// RulesFor returns the rules of a service, without Owner, of a table with the given services.
+func RulesFor(service string, specs value.List[value.ServiceSpec], b value.ForwardBalance) Rules {
 	limited, engine := false, false
 	var r Rules
 	for x := range specs.All() {
-		if l := x.EngineSlots() >= 1 && x.EngineSlots() <= maxSlots; l {
+		if Limited(x, b) {
 			limited = true
 			r.Engines = r.Engines || x.Name() == service
 		}
--- a/assign/state.go
+++ b/assign/state.go
@@ -28,6 +28,8 @@
 	refusals refusals
 	// delays are the learned delays of ranks.
 	delays value.List[rankDelay]
+	// local is set if the state places only requests of its own instance that reach no owner; see LocalPlacementChanged.
+	local bool
 }
 
 // New returns the state of a shard without servers.
@@ -163,6 +165,8 @@
 		s.coldLimits = e.Limits
 	case RulesChanged:
 		s = s.withRules(e.Rules)
+	case LocalPlacementChanged:
+		s.local = e.Local
 	case Ticked:
 	}
 	s, more := s.schedule(now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -186,6 +186,7 @@
 	p.metrics.Value("forward_evacuated", "Requests that run at backend servers of evacuated data centres.", func() float64 {
 		return float64(p.relay.ActiveEvacuated())
 	})
+	p.metrics.Value("forward_shard_imbalance", "Largest ratio of the known load of a shard to the mean of its service.", p.relay.Imbalance)
 	p.metrics.Value("store_calls", "Calls to the store.", func() float64 { return float64(p.follower.Requests.Load()) })
 	p.metrics.Value("store_failures", "Calls to the store without an answer.", func() float64 { return float64(p.follower.Failures.Load()) })
 	p.metrics.Value("store_age_seconds", "Age of the newest proof that the store shows nothing newer.", func() float64 {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -24,6 +24,8 @@
 	refused   *prometheus.CounterVec
 	rate      *prometheus.GaugeVec
 	factor    *prometheus.GaugeVec
+	choices   *prometheus.CounterVec
+	loadAge   prometheus.Histogram
 }
 
 // NewMetrics returns the metrics, registered in a new registry.
@@ -49,8 +51,14 @@
 		factor: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "hoist", Name: "engine_factor", Help: "Learned time of an engine of an owned shard relative to the mean.",
 		}, []string{"shard", "server"}),
+		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "hoist", Name: "forward_shard_choices_total", Help: "Choices of a shard by load, by whether the request left its first shard.",
+		}, []string{"moved"}),
+		loadAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "hoist", Name: "forward_load_age_seconds", Help: "Age of the older of the two loads behind the choice of a shard.", Buckets: buckets,
+		}),
 	}
-	m.Registry.MustRegister(m.firstByte, m.duration, m.results, m.refused, m.rate, m.factor)
+	m.Registry.MustRegister(m.firstByte, m.duration, m.results, m.refused, m.rate, m.factor, m.choices, m.loadAge)
 	return m
 }
 
@@ -79,6 +87,12 @@
 	rank := rankLabel(j.rank)
 	m.results.WithLabelValues(rank, j.result).Inc()
 	m.duration.WithLabelValues(rank).Observe(duration.Duration().Seconds())
+	if j.choice != nil {
+		m.choices.WithLabelValues(map[bool]string{true: "yes", false: "no"}[j.choice.Moved]).Inc()
+		if j.choice.Reported {
+			m.loadAge.Observe(j.choice.Age.Duration().Seconds())
+		}
+	}
 	if j.firstByteTime > 0 {
 		m.firstByte.WithLabelValues(rank, workspaceLabel(j)).Observe(j.firstByteTime.Duration().Seconds())
 	}
--- a/relay/service.go
+++ b/relay/service.go
@@ -13,6 +13,7 @@
 	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/retry"
 	"chicoryhoist.example/hoist/route"
+	"chicoryhoist.example/hoist/spread"
 	"chicoryhoist.example/hoist/value"
 )
 
@@ -28,6 +29,8 @@
 	// active is the number of dispatchers that get new requests. The others are of a time when the service had more servers;
 	// requests may wait there.
 	active int
+	// shards describes the active dispatchers if requests are divided among them by load, and is empty otherwise.
+	shards []spread.Shard
 }
 
 // shardCount returns the number of shards for a number of servers.
@@ -63,17 +66,18 @@
 			// Servers move to other shards.
 			u.Kept = keptServers(old, v)
 		}
-		next[n] = r.withShards(n, s, spec, u)
+		next[n] = r.withShards(n, s, spec, u, r.balances(v.Table, n))
 		r.setRules(n, next[n], v.Table)
 	}
 	r.services.Store(&next)
+	r.retainLoads(next)
 	hoist.Update(&r.notices, func(n assign.Notices) assign.Notices { return n.Retained(v.Servers) })
 	r.Client.Retain(func(a string) bool { return addresses[a] })
 }
 
 // withShards returns the service with its servers divided among its shards. It keeps the dispatchers of the old service,
 // which may be nil.
-func (r *Relay) withShards(name string, old *service, spec value.ServiceSpec, u assign.ServersUpdated) *service {
+func (r *Relay) withShards(name string, old *service, spec value.ServiceSpec, u assign.ServersUpdated, balanced bool) *service {
 	s := &service{active: shardCount(u.Servers.Len()), spec: spec}
 	if old != nil {
 		s.dispatchers = slices.Clone(old.dispatchers)
@@ -89,6 +93,10 @@
 		lists = append(lists, divide(u.Servers, n)[s.active:]...)
 	}
 	for i, d := range s.dispatchers {
+		d.balanced.Store(balanced)
+		if balanced && i < s.active {
+			s.shards = append(s.shards, spread.Shard{Name: d.shard, Servers: usable(lists[i])})
+		}
 		d.post(assign.ServersUpdated{Servers: value.ListOf(lists[i]...), Kept: u.Kept})
 	}
 	r.limitRetries(s)
@@ -124,7 +132,7 @@
 	if t == nil {
 		return
 	}
-	rules := assign.RulesFor(name, t.Specs(), r.Settings.Balance().MaxSlots())
+	rules := assign.RulesFor(name, t.Specs(), r.Settings.Balance())
 	for _, d := range s.dispatchers {
 		d.updateRules(func(assign.Rules) assign.Rules { return rules })
 	}
@@ -160,11 +168,7 @@
 	if s.active == 1 {
 		return s.dispatchers[0]
 	}
-	key := xxhash.Sum64String(q.ID)
-	if n := q.Parts.Len(); n > 1 {
-		key = assign.PartHash(q.Parts.At(n - 2).Id())
-	}
-	return s.dispatchers[key%uint64(s.active)]
+	return s.dispatchers[shardKey(q)%uint64(s.active)]
 }
 
 // ownerOf returns the owner of the shard in the view; it returns an empty name if the view is stale.
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -216,7 +216,8 @@
 
 // ForwardBalance switches the placement by learned load.
 type ForwardBalance struct {
-	maxSlots int32
+	maxSlots      int32
+	maxSlotTokens int32
 }
 
 // MaxSlots returns the field's value. Greatest number of slots of an engine up to which a service is placed by learned load; 0 switches it off. Engines with few slots for their speed cannot absorb an uneven load in their own queue.
@@ -228,6 +229,15 @@
 	return f
 }
 
+// MaxSlotTokens returns the field's value. Greatest memory for each slot of such an engine, in tokens; 0 sets no bound. Engines whose slots do not fit their memory evict cached prompt parts and preempt requests before their slots are taken.
+func (f ForwardBalance) MaxSlotTokens() int32 { return f.maxSlotTokens }
+
+// WithMaxSlotTokens returns a copy with the field replaced.
+func (f ForwardBalance) WithMaxSlotTokens(v int32) ForwardBalance {
+	f.maxSlotTokens = v
+	return f
+}
+
 // ForwardListen holds the listen addresses of a forwarding router, as IP:port.
 type ForwardListen struct {
 	callers string
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -132,6 +132,7 @@
 func ForwardBalanceValue(m *ForwardBalance) value.ForwardBalance {
 	var v value.ForwardBalance
 	v = v.WithMaxSlots(m.GetMaxSlots())
+	v = v.WithMaxSlotTokens(m.GetMaxSlotTokens())
 	return v
 }
 
@@ -139,6 +140,7 @@
 func ForwardBalanceWire(v value.ForwardBalance) *ForwardBalance {
 	m := &ForwardBalance{}
 	m.SetMaxSlots(v.MaxSlots())
+	m.SetMaxSlotTokens(v.MaxSlotTokens())
 	return m
 }
 
