intake, accept, edge: Bound what callers make a forwarding router hold

Cause: bodies were read with io.ReadAll or into a buffer of the announced size, copied again to be sent, and held for as long as a caller kept its connection open; connections and the time to read a response had no bound. Change: bodies are read into blocks that are charged to one account before they are allocated, and sent from these blocks. When the account or the share of an address is full, bodies without progress give way, then the largest. Bodies have a lowest rate, headers twice the time of the configuration, unread responses 10 s. A listener closes the connection that has been idle longest when the descriptors for callers are used up. The limits have settings with defaults, counters and one log line a second.

--- /dev/null
+++ b/accept/listener.go
@@ -0,0 +1,283 @@
+package accept
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/intake"
+)
+
+const (
+	// freeHeaderBytes is the part of a header that is not charged; the buffers of the server hold it in any case.
+	freeHeaderBytes = 4 << 10
+	// headerSlackBytes is what a connection may send beyond the limit of a header before it is closed, because the server
+	// reads ahead and responds with an error just above the limit.
+	headerSlackBytes = 8 << 10
+	// slowHeaderTime is the age at which an incomplete header counts as idle; a header usually comes in one packet.
+	slowHeaderTime = hoist.Second
+	// sweepInterval is the interval at which late headers are looked for.
+	sweepInterval = 500 * hoist.Millis(1)
+)
+
+// errHeaderSize means that a header exceeds its limit.
+var errHeaderSize = eris.New("header of a request is too long")
+
+// Phases of a connection.
+const (
+	phaseIdle int32 = iota
+	phaseHeader
+	phaseServing
+	phaseClosed
+)
+
+// HeaderLimits bounds the header of a request; zero values set no bound.
+type HeaderLimits struct {
+	Bytes   int64
+	Timeout hoist.Millis
+}
+
+// Options are the dependencies and limits of a listener.
+type Options struct {
+	Clock hoist.Clock
+	// Connections is the largest number of connections.
+	Connections int64
+	// Account is charged for long headers; nil charges nothing.
+	Account *intake.Account
+	// Header returns the current limits of a header; nil sets none.
+	Header func() HeaderLimits
+}
+
+// Listener accepts a bounded number of connections. Beyond it, the connection that has been idle longest is closed, and if
+// none is idle, no connection is accepted until one ends.
+type Listener struct {
+	net.Listener
+	options Options
+	conns   sync.Map
+	count   atomic.Int64
+	// changed receives a value when a connection ends or becomes idle.
+	changed chan struct{}
+	closed  chan struct{}
+	isDown  atomic.Bool
+	// Evicted counts idle connections that were closed for new ones, Late the headers that did not end in time, Long those
+	// that were too long or for which there was no memory.
+	Evicted, Late, Long atomic.Int64
+}
+
+// Listen wraps a listener.
+func Listen(l net.Listener, o Options) *Listener {
+	return &Listener{Listener: l, options: o, changed: make(chan struct{}, 1), closed: make(chan struct{})}
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// Attach makes the server report the phases of its connections. The server must serve a Listener.
+func Attach(s *http.Server) {
+	next := s.Handler
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if x, ok := c.(*Conn); ok && state == http.StateIdle {
+			x.becomeIdle()
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			x.phase.CompareAndSwap(phaseIdle, phaseServing)
+			x.phase.CompareAndSwap(phaseHeader, phaseServing)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Count returns the number of open connections.
+func (l *Listener) Count() int64 { return l.count.Load() }
+
+// Accept returns the next connection once there is room for it.
+func (l *Listener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for l.count.Load() >= l.options.Connections && !l.evict() {
+		select {
+		case <-l.changed:
+		case <-l.options.Clock.After(slowHeaderTime):
+		case <-l.closed:
+			_ = n.Close() // The server is stopping.
+			return nil, net.ErrClosed
+		}
+	}
+	x := &Conn{Conn: n, listener: l}
+	x.since.Store(int64(l.options.Clock.Now()))
+	l.count.Add(1)
+	l.conns.Store(x, struct{}{})
+	return x, nil
+}
+
+// Close closes the listener; its connections stay open.
+func (l *Listener) Close() error {
+	if l.isDown.CompareAndSwap(false, true) {
+		close(l.closed)
+	}
+	return l.Listener.Close()
+}
+
+// evict closes the connection that has been idle longest, or whose header has been incomplete longest. It returns false if
+// there is none.
+func (l *Listener) evict() bool {
+	now := l.options.Clock.Now()
+	var oldest *Conn
+	var phase int32
+	for k := range l.conns.Range {
+		x := k.(*Conn)
+		p, age := x.phase.Load(), now-hoist.Millis(x.since.Load())
+		if p != phaseIdle && (p != phaseHeader || age < slowHeaderTime) {
+			continue
+		}
+		if oldest == nil || p < phase || p == phase && x.since.Load() < oldest.since.Load() {
+			oldest, phase = x, p
+		}
+	}
+	if oldest == nil || !oldest.phase.CompareAndSwap(phase, phaseClosed) {
+		return false
+	}
+	l.Evicted.Add(1)
+	_ = oldest.Close() // The caller may have closed it.
+	return true
+}
+
+// Sweep closes connections whose header does not end in time, until ctx ends.
+func (l *Listener) Sweep(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-l.options.Clock.After(sweepInterval):
+			limit := l.headerLimits().Timeout
+			if limit <= 0 {
+				continue
+			}
+			for k := range l.conns.Range {
+				x := k.(*Conn)
+				if now-hoist.Millis(x.since.Load()) >= limit && x.phase.CompareAndSwap(phaseHeader, phaseClosed) {
+					l.Late.Add(1)
+					_ = x.Close() // The caller may have closed it.
+				}
+			}
+		}
+	}
+}
+
+// headerLimits returns the current limits of a header.
+func (l *Listener) headerLimits() HeaderLimits {
+	if l.options.Header == nil {
+		return HeaderLimits{}
+	}
+	return l.options.Header()
+}
+
+// signal wakes the goroutine that waits for room.
+func (l *Listener) signal() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Conn is one connection of a caller.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	phase    atomic.Int32
+	// since is the time of the last change to phaseIdle or phaseHeader.
+	since atomic.Int64
+	// header is the number of bytes of the current header; it and the ticket are used by the reading goroutine.
+	header int64
+	ticket atomic.Pointer[intake.Ticket]
+	ended  atomic.Bool
+}
+
+// Read reads and charges what belongs to a header.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 || c.phase.Load() == phaseServing {
+		return n, err
+	}
+	if c.phase.CompareAndSwap(phaseIdle, phaseHeader) {
+		c.since.Store(int64(c.listener.options.Clock.Now()))
+		c.header = 0
+	}
+	c.header += int64(n)
+	if e := c.chargeHeader(int64(n)); e != nil {
+		c.listener.Long.Add(1)
+		return 0, e
+	}
+	return n, err
+}
+
+// chargeHeader charges n bytes of a header.
+func (c *Conn) chargeHeader(n int64) error {
+	limit := c.listener.headerLimits().Bytes
+	if limit > 0 && c.header > limit+headerSlackBytes {
+		return errHeaderSize
+	}
+	a := c.listener.options.Account
+	if a == nil || c.header <= freeHeaderBytes {
+		return nil
+	}
+	t := c.ticket.Load()
+	if t == nil {
+		// The ticket of a connection that is being closed at this moment is released below.
+		t = a.Open(remoteAddress(c.RemoteAddr().String()), func() { _ = c.Close() })
+		c.ticket.Store(t)
+	}
+	err := t.Grow(n)
+	if c.ended.Load() {
+		c.release()
+		return errors.Join(err, net.ErrClosed)
+	}
+	return err
+}
+
+// becomeIdle records that a request has ended.
+func (c *Conn) becomeIdle() {
+	c.release()
+	c.since.Store(int64(c.listener.options.Clock.Now()))
+	// A request that the server answers by itself never leaves phaseHeader.
+	if c.phase.CompareAndSwap(phaseServing, phaseIdle) || c.phase.CompareAndSwap(phaseHeader, phaseIdle) {
+		c.listener.signal()
+	}
+}
+
+// release ends the holding for the header.
+func (c *Conn) release() {
+	if t := c.ticket.Swap(nil); t != nil {
+		t.Release()
+	}
+}
+
+// CloseWrite closes the sending side, so that a caller that is still sending can read the last response.
+func (c *Conn) CloseWrite() error {
+	if x, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return x.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	if c.ended.CompareAndSwap(false, true) {
+		c.listener.conns.Delete(c)
+		c.listener.count.Add(-1)
+		c.release()
+		c.listener.signal()
+	}
+	return c.Conn.Close()
+}
--- a/config/forward.go
+++ b/config/forward.go
@@ -44,6 +44,14 @@
 	resources.checkPositive("cores", s.Resources().Cores())
 	resources.checkPositive("core_share", s.Resources().CoreShare())
 	resources.checkPositive("link_mbps", s.Resources().LinkMbps())
+	resources.checkPositive("descriptors", s.Resources().Descriptors())
+	clients := tableCheck{root, "clients"}
+	clients.checkPositive("body_mib", s.Clients().BodyMib())
+	clients.checkPositive("address_mib", s.Clients().AddressMib())
+	clients.checkPositive("body_rate", s.Clients().BodyRate())
+	clients.checkPositive("body_grace_ms", s.Clients().BodyGraceMs())
+	clients.checkPositive("connections", s.Clients().Connections())
+	clients.checkPositive("unread_ms", s.Clients().UnreadMs())
 	return r.findings
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
@@ -16,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/accept"
 	"chicoryhoist.example/hoist/config"
 	"chicoryhoist.example/hoist/edge"
 	"chicoryhoist.example/hoist/event"
@@ -48,6 +50,8 @@
 	callerIdleTimeout = 2 * hoist.Minute
 	// headerTimeout bounds the time in which a caller must send the header of a request.
 	headerTimeout = 10 * hoist.Second
+	// operatorConnections bounds the connections for readiness checks, and those for metrics.
+	operatorConnections = 32
 	// drainPollInterval is the interval at which a draining process checks whether its last request has ended.
 	drainPollInterval = 20 * hoist.Millis(1)
 	// minDrainTime is the time for which a draining process continues to accept requests, so that the load balancer
@@ -76,6 +80,7 @@
 	mesh     *mesh.Mesh
 	relay    *relay.Relay
 	edge     *edge.Server
+	limits   *edge.Limits
 	metrics  *relay.Metrics
 	stop     context.CancelFunc
 }
@@ -135,7 +140,8 @@
 	m.OnItems = p.relay.Deliver
 	m.Quarantined, m.OnQuarantined = p.relay.Quarantined, p.relay.AddQuarantined
 	m.OnView = p.relay.UpdateMembers
-	p.edge = edge.New(p.relay)
+	p.limits = edge.NewLimits(clock, o.Settings)
+	p.edge = edge.New(p.relay, p.limits)
 	p.exportMetrics()
 	go p.follower.Run(ctx)
 	go m.Run(ctx)
@@ -170,9 +176,35 @@
 	p.metrics.Value("mesh_datagrams", "Datagrams sent to other instances.", func() float64 { return float64(p.mesh.Sent.Load()) })
 	p.metrics.Value("mesh_bytes", "Bytes sent to other instances.", func() float64 { return float64(p.mesh.SentBytes.Load()) })
 	p.metrics.Value("mesh_members", "Live instances in the view of this one, itself included.", func() float64 { return float64(len(p.mesh.View().Members())) })
+	p.exportLimits()
 	p.metrics.Value("foreign_answers", "Answers of other requests that were dropped.", func() float64 { return float64(p.client.Mismatched.Load()) })
 }
 
+// exportLimits registers the counters of refused callers.
+func (p *Process) exportLimits() {
+	l := p.limits
+	p.metrics.Value("caller_bytes", "Bytes of request bodies and long headers that are held.", func() float64 { return float64(l.Account.State().Used()) })
+	p.counter("bodies_full", "Request bodies refused because the memory for callers is exhausted.", &l.Account.Full)
+	p.counter("bodies_address_full", "Request bodies refused because their remote address holds its share of the memory.", &l.Account.AddressFull)
+	p.counter("bodies_displaced", "Request bodies dropped to make room for others.", &l.Account.Displaced)
+	p.counter("bodies_slow", "Request bodies below the lowest rate.", &l.Slow)
+	p.counter("bodies_too_large", "Request bodies above the limit of the configuration.", &l.TooLarge)
+	p.counter("bodies_broken", "Request bodies that ended early or were malformed.", &l.Broken)
+}
+
+// exportConnections registers the counters of the listener for callers.
+func (p *Process) exportConnections(l *accept.Listener) {
+	p.metrics.Value("caller_connections", "Open connections of callers.", func() float64 { return float64(l.Count()) })
+	p.counter("connections_evicted", "Idle connections of callers that were closed for new ones.", &l.Evicted)
+	p.counter("headers_late", "Connections closed because a request header did not end in time.", &l.Late)
+	p.counter("headers_long", "Connections closed because a request header was too long or there was no memory for it.", &l.Long)
+}
+
+// counter registers a counter.
+func (p *Process) counter(name, help string, n *atomic.Int64) {
+	p.metrics.Value(name, help, func() float64 { return float64(n.Load()) })
+}
+
 // Tune sets the limits of the Go runtime according to the resources of the instance.
 func Tune(r value.ForwardResources) {
 	runtime.GOMAXPROCS(int(min(max(r.Cores(), 1), maxCores)))
@@ -192,19 +224,30 @@
 		Handler: p.edge, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(), MaxHeaderBytes: edge.MaxHeaderBytes,
 		ErrorLog: discardLogger(),
 	}
+	// Late headers are looked for until the end of the drain.
+	sweep, endSweep := context.WithCancel(context.Background())
+	defer endSweep()
+	operators := accept.Options{Clock: p.clock, Connections: operatorConnections}
 	for _, s := range []struct {
 		address string
 		server  *http.Server
+		options accept.Options
 	}{
-		{l.Callers(), callers},
-		{l.Ready(), &http.Server{Handler: http.HandlerFunc(p.edge.Ready), ReadTimeout: headerTimeout.Duration(), ErrorLog: discardLogger()}},
-		{l.Metrics(), &http.Server{Handler: mux, ReadTimeout: headerTimeout.Duration(), ErrorLog: discardLogger()}},
+		{l.Callers(), callers, accept.Options{Clock: p.clock, Connections: p.limits.Connections, Account: p.limits.Account, Header: p.edge.HeaderLimits}},
+		{l.Ready(), &http.Server{Handler: http.HandlerFunc(p.edge.Ready), ReadTimeout: headerTimeout.Duration(), ErrorLog: discardLogger()}, operators},
+		{l.Metrics(), &http.Server{Handler: mux, ReadTimeout: headerTimeout.Duration(), ErrorLog: discardLogger()}, operators},
 	} {
 		n, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", s.address)
 		}
-		go func() { failed <- s.server.Serve(n) }()
+		bounded := accept.Listen(n, s.options)
+		accept.Attach(s.server)
+		if s.server == callers {
+			p.exportConnections(bounded)
+			go bounded.Sweep(sweep)
+		}
+		go func() { failed <- s.server.Serve(bounded) }()
 	}
 	p.log.Write(event.Started, logrus.Fields{"instance": p.settings.Name(), "datacentre": p.settings.Datacentre()})
 	var err error
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -3,16 +3,15 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-
-	"github.com/sirupsen/logrus"
+	"time"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/accept"
 	"chicoryhoist.example/hoist/event"
+	"chicoryhoist.example/hoist/intake"
 	"chicoryhoist.example/hoist/relay"
 	"chicoryhoist.example/hoist/value"
 )
@@ -34,11 +33,12 @@
 	clock   hoist.Clock
 	dialect value.Dialect
 	log     *event.Log
+	limits  *Limits
 }
 
-// New returns a server that forwards to the relay.
-func New(r *relay.Relay) *Server {
-	return &Server{relay: r, clock: r.Clock, dialect: r.Dialect, log: r.Log}
+// New returns a server that forwards to the relay within the limits.
+func New(r *relay.Relay, l *Limits) *Server {
+	return &Server{relay: r, clock: r.Clock, dialect: r.Dialect, log: r.Log, limits: l}
 }
 
 // Drain starts a planned stop and returns it.
@@ -61,55 +61,48 @@
 // ServeHTTP forwards one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.clock.Now()
-	c := &responseWriter{writer: w, control: http.NewResponseController(w)}
+	c := &responseWriter{writer: w, control: http.NewResponseController(w), unread: s.limits.unread}
 	defer c.finish()
 	if s.relay.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := s.readBody(w, r)
+	body, ticket, err := s.readBody(w, r)
 	if err != nil {
 		s.rejectBody(c, r, err)
 		return
 	}
+	if ticket != nil {
+		defer ticket.Release()
+	}
 	q := s.relayRequest(r, body, arrived)
 	s.relay.Serve(r.Context(), q, c)
 }
 
-// readBody reads the complete body within its bound; it returns nil if the request has none.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the complete body within the limits; it returns nil if the request has none. The ticket, if any, must be
+// released at the end of the request, because the body may be sent again until then.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([][]byte, *intake.Ticket, error) {
 	if r.ContentLength == 0 {
 		if r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-			return []byte{}, nil
+			return [][]byte{}, nil, nil
 		}
-		return nil, nil
+		return nil, nil, nil
 	}
 	limit := int64(defaultBodyBytes)
 	if t := s.relay.Follower.View().Table; t != nil && t.BodyBytes() > 0 {
 		limit = t.BodyBytes()
 	}
-	reader := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength < 0 || r.ContentLength > limit {
-		return io.ReadAll(reader)
-	}
-	b := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(reader, b)
-	return b, err
-}
-
-// rejectBody responds to a request whose body is too large or incomplete.
-func (s *Server) rejectBody(c *responseWriter, r *http.Request, err error) {
-	status := http.StatusBadRequest
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		status = http.StatusRequestEntityTooLarge
+	t := accept.Open(s.limits.Account, w, r)
+	body, err := accept.ReadBody(w, r, t, limit, s.limits.rate)
+	if err != nil {
+		t.Release()
+		return nil, nil, err
 	}
-	s.log.Write(event.RequestEnded, logrus.Fields{"request": r.Header.Get(s.dialect.RequestId()), "result": "body", "error": err.Error()})
-	c.sendError(status, "body", 0)
+	return body, t, nil
 }
 
 // relayRequest converts the request to the form that the relay uses and removes the header fields that callers must
 // not set.
-func (s *Server) relayRequest(r *http.Request, body []byte, arrived hoist.Millis) relay.Request {
+func (s *Server) relayRequest(r *http.Request, body [][]byte, arrived hoist.Millis) relay.Request {
 	d := s.dialect
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
@@ -162,6 +155,8 @@
 type responseWriter struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
+	// unread is the time for which the caller may leave a part of the response unread; zero sets no limit.
+	unread hoist.Millis
 	// ended is set once the response is complete.
 	ended bool
 }
@@ -181,14 +176,23 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	c.allow()
 	c.writer.WriteHeader(status)
 }
 
+// allow starts the time within which the caller has to read the next part of the response.
+func (c *responseWriter) allow() {
+	if c.unread > 0 {
+		_ = c.control.SetWriteDeadline(time.Now().Add(c.unread.Duration())) // Fails only on a closed connection.
+	}
+}
+
 // Write sends a chunk of the body and flushes it.
 func (c *responseWriter) Write(b []byte) error {
 	if len(b) == 0 {
 		return nil
 	}
+	c.allow()
 	if _, err := c.writer.Write(b); err != nil {
 		return err
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -102,6 +102,7 @@
 	ContentReleased    = Code{706, logrus.InfoLevel, "content is no longer quarantined, because a server has answered it or other content explains the crashes", "None."}
 	ServerLeaving      = Code{707, logrus.InfoLevel, "backend server has said in a response that it is leaving; it gets no new requests", "None."}
 	ServerPaused       = Code{708, logrus.InfoLevel, "backend server has refused a request and wants none from this instance for a time", "Check its load if it recurs."}
+	CallerLimited      = Code{709, logrus.WarnLevel, "request body was refused; at most one line a second", "See the counters of refused callers in docs/metrics.md if it recurs."}
 	RequestQuarantined = Code{702, logrus.WarnLevel, "request was rejected because its content has crashed backend servers", "Ask the workspace for the request."}
 )
 
@@ -118,7 +119,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused, CallerLimited,
 		InvariantViolated,
 	}
 }
--- a/http1/client.go
+++ b/http1/client.go
@@ -33,6 +33,8 @@
 	probeCount    = 2
 	// maxHeaderBytes bounds the header of a response; a response with a longer header is an error.
 	maxHeaderBytes = 64 << 10
+	// maxJoinedBytes is the length up to which a body is sent in one write with the header.
+	maxJoinedBytes = 16 << 10
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
 )
@@ -57,8 +59,8 @@
 	Method, Target, Host string
 	// Header is sent sorted by field name.
 	Header http.Header
-	// Body is sent with a Content-Length field; nil sends no body.
-	Body []byte
+	// Body holds the blocks of the body, which is sent with a Content-Length field; nil sends no body.
+	Body [][]byte
 	// Fresh requests a new connection instead of an idle one. A request without an ID always gets one, because the response
 	// cannot be told from a late one.
 	Fresh bool
@@ -260,8 +262,9 @@
 // buffers is a pool of buffers for encoded requests.
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// encode returns the request in wire format in a pooled buffer.
-func encode(r Request) *bytes.Buffer {
+// encode returns the request in wire format in a pooled buffer, without the body if it is long; the blocks of a long body are
+// returned beside it, so that they are not copied.
+func encode(r Request) (*bytes.Buffer, [][]byte) {
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
 	b.WriteString(r.Method)
@@ -285,12 +288,26 @@
 	}
 	if r.Body != nil {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(bodyLength(r.Body)))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b
+	if length := bodyLength(r.Body); length <= maxJoinedBytes {
+		for _, block := range r.Body {
+			b.Write(block)
+		}
+		return b, nil
+	}
+	return b, r.Body
+}
+
+// bodyLength returns the length of a body in bytes.
+func bodyLength(blocks [][]byte) int {
+	n := 0
+	for _, b := range blocks {
+		n += len(b)
+	}
+	return n
 }
 
 // pastDeadline is a deadline in the past, which ends pending reads and writes immediately.
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -97,7 +97,7 @@
 // exchange sends one request and formats its outcome.
 func exchange(c *http1.Client, address, id string) string {
 	resp, err := c.Do(context.Background(), address, http1.Request{
-		Method: http.MethodPost, Target: "/p/x?y=1", Host: "a.example", Header: http.Header{"X-Request-Id": {id}}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/p/x?y=1", Host: "a.example", Header: http.Header{"X-Request-Id": {id}}, Body: [][]byte{[]byte("body")},
 		IDHeader: "X-Request-Id", ID: id,
 	})
 	switch {
--- a/http1/response.go
+++ b/http1/response.go
@@ -57,22 +57,28 @@
 }
 
 // send writes the request and closes writeDone at the end.
-func (r *Response) send(b *bytes.Buffer) {
+func (r *Response) send(b *bytes.Buffer, blocks [][]byte) {
 	defer close(r.writeDone)
 	defer buffers.Put(b)
-	for b.Len() > 0 {
-		n, err := r.conn.net.Write(b.Bytes())
-		if n > 0 {
-			r.conn.written.Store(true)
-		}
-		b.Next(n)
-		if err != nil {
-			r.writeErr = err
+	if r.writeErr = r.write(b.Bytes()); r.writeErr != nil {
+		return
+	}
+	for _, block := range blocks {
+		if r.writeErr = r.write(block); r.writeErr != nil {
 			return
 		}
 	}
 }
 
+// write writes a part of the request.
+func (r *Response) write(b []byte) error {
+	n, err := r.conn.net.Write(b)
+	if n > 0 {
+		r.conn.written.Store(true)
+	}
+	return err
+}
+
 // readOneHeader reads one response header. It aborts the connection if the header has begun and does not end in time, so
 // that a server which sends a byte now and then cannot hold the request.
 func (r *Response) readOneHeader(method string) (*http.Response, error) {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -59,7 +59,9 @@
 		_, _ = d.WriteString(s) // Never fails.
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(q.Body)
+	for _, b := range q.Body {
+		_, _ = d.Write(b)
+	}
 	return d.Sum64() | 1
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -18,8 +18,8 @@
 	Path string
 	// Header holds the header fields to forward.
 	Header http.Header
-	// Body is nil if the request has none.
-	Body []byte
+	// Body holds the blocks of the body; it is nil if the request has none.
+	Body [][]byte
 	// Key is the API key of the caller.
 	Key string
 	// Timeout is the time that the caller waits, or zero if it states none.
--- a/route/table.go
+++ b/route/table.go
@@ -65,6 +65,12 @@
 // BodyBytes returns the maximum size of a request body in bytes, or zero if the table sets none.
 func (t *Table) BodyBytes() int64 { return t.source.BodyBytes() }
 
+// HeaderBytes returns the maximum size of a request header in bytes, or zero if the table sets none.
+func (t *Table) HeaderBytes() int64 { return t.source.HeaderBytes() }
+
+// HeaderTimeoutMs returns the time within which a request header must end in milliseconds, or zero if the table sets none.
+func (t *Table) HeaderTimeoutMs() int64 { return t.source.HeaderTimeoutMs() }
+
 // Match returns the route of the host with the longest matching path prefix. The host is compared without its port
 // and without regard to case.
 func (t *Table) Match(host, path string) (value.Route, bool) {
--- a/value/forward.gen.go
+++ b/value/forward.gen.go
@@ -167,6 +167,7 @@
 	bodyRate    float64
 	bodyGraceMs float64
 	connections float64
+	unreadMs    float64
 }
 
 // BodyMib returns the field's value. Memory for request bodies of all callers together, in mebibytes; default a quarter of the memory of the process.
@@ -205,7 +206,7 @@
 	return f
 }
 
-// Connections returns the field's value. Number of connections of callers; default what the descriptors of the process allow besides those for servers.
+// Connections returns the field's value. Number of connections of callers; default half of the descriptors that remain after 200 for files, the other half is for backend servers, other instances, the store, metrics and readiness.
 func (f ForwardClients) Connections() float64 { return f.connections }
 
 // WithConnections returns a copy with the field replaced.
@@ -214,6 +215,15 @@
 	return f
 }
 
+// UnreadMs returns the field's value. Time for which a caller may leave a response unread, in milliseconds; default 10000.
+func (f ForwardClients) UnreadMs() float64 { return f.unreadMs }
+
+// WithUnreadMs returns a copy with the field replaced.
+func (f ForwardClients) WithUnreadMs(v float64) ForwardClients {
+	f.unreadMs = v
+	return f
+}
+
 // ForwardBalance switches the placement by learned load.
 type ForwardBalance struct {
 	maxSlots int32
--- a/wire/defaults.gen.go
+++ b/wire/defaults.gen.go
@@ -6,6 +6,7 @@
 var Defaults = map[string]int64{
 	"hoist.ForwardClients.body_rate":     1024,
 	"hoist.ForwardClients.body_grace_ms": 5000,
+	"hoist.ForwardClients.unread_ms":     10000,
 	"hoist.ForwardResources.memory_mib":  128,
 	"hoist.ForwardResources.cores":       1,
 	"hoist.ForwardResources.core_share":  1,
--- a/wire/forward.value.go
+++ b/wire/forward.value.go
@@ -114,6 +114,7 @@
 	v = v.WithBodyRate(m.GetBodyRate())
 	v = v.WithBodyGraceMs(m.GetBodyGraceMs())
 	v = v.WithConnections(m.GetConnections())
+	v = v.WithUnreadMs(m.GetUnreadMs())
 	return v
 }
 
@@ -125,6 +126,7 @@
 	m.SetBodyRate(v.BodyRate())
 	m.SetBodyGraceMs(v.BodyGraceMs())
 	m.SetConnections(v.Connections())
+	m.SetUnreadMs(v.UnreadMs())
 	return m
 }
 
