accept, relay: Charge kept answers, and a block only once a byte for it has arrived

Cause: answers that are kept until they are whole were not charged to the account of callers, and a body that ends at the edge of a block was charged 64 KiB for the next one. Change: the relay charges the buffer of an answer before it grows and forwards the answer unbuffered if the account is full; the reader of bodies reads up to 512 bytes before it charges a block.

--- a/accept/body.go
+++ b/accept/body.go
@@ -24,6 +24,9 @@
 	progressTime = 250 * hoist.Millis(1)
 )
 
+// firstBytes is the number of bytes that are read before the next block is charged.
+const firstBytes = 512
+
 // blockBytes are the sizes of the first blocks of a body; the last one is repeated. Small bodies are charged little, and long
 // ones need few blocks.
 var blockBytes = []int64{4 << 10, 16 << 10, 64 << 10}
@@ -56,6 +59,8 @@
 	// recorded is the time of the last charge or recorded progress.
 	recorded time.Time
 	read     int64
+	// first holds the bytes that are read before a block is charged.
+	first [firstBytes]byte
 }
 
 // Open opens a ticket for the request's body; if the body has to give way, the pending read of the connection ends.
@@ -101,54 +106,55 @@
 	if announced >= 0 {
 		rest = announced
 	}
-	for n := 0; ; n++ {
-		size := min(blockBytes[min(n, len(blockBytes)-1)], max(rest-b.read, 1))
-		if announced >= 0 && b.read >= announced {
-			return blocks, nil
+	for ended := false; !ended; {
+		// A block is charged only once a byte for it has arrived.
+		n, last, err := b.readSome(b.first[:])
+		if err != nil {
+			return nil, err
+		}
+		if ended = last; n == 0 {
+			continue
 		}
+		size := min(blockBytes[min(len(blocks), len(blockBytes)-1)], rest-b.read+int64(n))
 		if err := b.ticket.Grow(size); err != nil {
 			return nil, err
 		}
 		b.recorded = time.Now()
-		block, err := b.fill(make([]byte, size))
-		if len(block) > 0 {
-			blocks = append(blocks, block)
-		}
-		if errors.Is(err, io.EOF) {
-			return blocks, nil
-		}
-		if err != nil {
-			return nil, err
+		block := make([]byte, size)
+		filled := copy(block, b.first[:n])
+		for !ended && filled < len(block) {
+			if n, ended, err = b.readSome(block[filled:]); err != nil {
+				return nil, err
+			}
+			filled += n
 		}
+		blocks = append(blocks, block[:filled])
 	}
+	return blocks, nil
 }
 
-// fill reads until the block is full or the body ends.
-func (b *bodyReader) fill(block []byte) ([]byte, error) {
-	for filled := 0; filled < len(block); {
-		// The deadline is set before the check: a ticket that is displaced afterwards moves the deadline into the past.
-		if err := b.control.SetReadDeadline(b.start.Add(b.rate.due(b.read))); err != nil {
-			return nil, eris.Wrap(err, "set read deadline")
-		}
-		if b.ticket.Displaced() {
-			return nil, intake.ErrDisplaced
-		}
-		n, err := b.body.Read(block[filled:])
-		filled, b.read = filled+n, b.read+int64(n)
-		switch {
-		case errors.Is(err, io.EOF):
-			return block[:filled], err
-		case errors.Is(err, os.ErrDeadlineExceeded) && b.ticket.Displaced():
-			return nil, intake.ErrDisplaced
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, ErrSlow
-		case err != nil:
-			return nil, err
-		}
-		if now := time.Now(); n > 0 && now.Sub(b.recorded) > progressTime.Duration() {
-			b.recorded = now
-			b.ticket.Progress()
-		}
+// readSome reads once and reports whether the body has ended.
+func (b *bodyReader) readSome(p []byte) (n int, ended bool, err error) {
+	// The deadline is set before the check: a ticket that is displaced afterwards moves the deadline into the past.
+	if err := b.control.SetReadDeadline(b.start.Add(b.rate.due(b.read))); err != nil {
+		return 0, false, eris.Wrap(err, "set read deadline")
+	}
+	if b.ticket.Displaced() {
+		return 0, false, intake.ErrDisplaced
+	}
+	n, err = b.body.Read(p)
+	b.read += int64(n)
+	if now := time.Now(); n > 0 && now.Sub(b.recorded) > progressTime.Duration() {
+		b.recorded = now
+		b.ticket.Progress()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return n, true, nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && b.ticket.Displaced():
+		return n, false, intake.ErrDisplaced
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return n, false, ErrSlow
 	}
-	return block, nil
+	return n, false, err
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -66,38 +66,33 @@
 	if s.relay.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	body, ticket, err := s.readBody(w, r)
+	// What is held is released at the end of the request, because the body may be sent again until then.
+	ticket := accept.Open(s.limits.Account, w, r)
+	defer ticket.Release()
+	body, err := s.readBody(w, r, ticket)
 	if err != nil {
+		ticket.Release()
 		s.rejectBody(c, r, err)
 		return
 	}
-	if ticket != nil {
-		defer ticket.Release()
-	}
 	q := s.relayRequest(r, body, arrived)
+	q.Hold = ticket.Grow
 	s.relay.Serve(r.Context(), q, c)
 }
 
-// readBody reads the complete body within the limits; it returns nil if the request has none. The ticket, if any, must be
-// released at the end of the request, because the body may be sent again until then.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([][]byte, *intake.Ticket, error) {
+// readBody reads the complete body within the limits; it returns nil if the request has none.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, t *intake.Ticket) ([][]byte, error) {
 	if r.ContentLength == 0 {
 		if r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-			return [][]byte{}, nil, nil
+			return [][]byte{}, t.Complete()
 		}
-		return nil, nil, nil
+		return nil, t.Complete()
 	}
 	limit := int64(defaultBodyBytes)
 	if t := s.relay.Follower.View().Table; t != nil && t.BodyBytes() > 0 {
 		limit = t.BodyBytes()
 	}
-	t := accept.Open(s.limits.Account, w, r)
-	body, err := accept.ReadBody(w, r, t, limit, s.limits.rate)
-	if err != nil {
-		t.Release()
-		return nil, nil, err
-	}
-	return body, t, nil
+	return accept.ReadBody(w, r, t, limit, s.limits.rate)
 }
 
 // relayRequest converts the request to the form that the relay uses and removes the header fields that callers must
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -22,6 +22,9 @@
 	// maxBufferedBytes is the size up to which a response is buffered completely before it is forwarded, so that the
 	// request can be retried if the response is interrupted.
 	maxBufferedBytes = 256 << 10
+	// minBufferedBytes is the size of the first buffer of a response body, and growth the factor by which it grows.
+	minBufferedBytes = 4 << 10
+	growth           = 4
 	// maxPause bounds the time for which a server can refuse requests in advance, so that an enormous number does not exclude it
 	// until its end.
 	maxPause = 10 * hoist.Minute
@@ -236,24 +239,24 @@
 // forwardBody forwards a response that is not a stream. It buffers the body up to maxBufferedBytes and forwards the
 // rest of a longer one as it arrives.
 func (j *job) forwardBody(ctx context.Context, resp *http1.Response, began func()) (Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	body, whole, err := j.bufferBody(resp)
 	if err != nil {
 		return j.unusableOutcome(ctx, err)
 	}
 	began()
-	if resp.Status/100 == 5 && len(body) < maxBufferedBytes {
+	if resp.Status/100 == 5 && whole {
 		j.errorResponse = &serverResponse{resp.Status, WithoutHopByHop(resp.Header), body}
 		return ServerError{}, nil
 	}
 	length := resp.Length
-	if len(body) < maxBufferedBytes {
+	if whole {
 		length = int64(len(body))
 	}
 	// Another server would send the body from its first byte.
 	j.progress.Repeatable = false
 	j.writeHeader(resp.Status, resp.Header, length)
 	err = j.response.Write(body)
-	if err == nil && len(body) == maxBufferedBytes {
+	if err == nil && !whole {
 		_, err = io.Copy(bodyWriter{j.response}, resp)
 	}
 	if err != nil {
@@ -262,6 +265,29 @@
 	return Completed{}, nil
 }
 
+// bufferBody reads a response body up to maxBufferedBytes, or up to what may be held. It reports whether that is the whole
+// body.
+func (j *job) bufferBody(resp io.Reader) (body []byte, whole bool, err error) {
+	for len(body) < maxBufferedBytes {
+		if len(body) == cap(body) {
+			size := min(max(growth*cap(body), minBufferedBytes), maxBufferedBytes)
+			if j.request.Hold != nil && j.request.Hold(int64(size-cap(body))) != nil {
+				break
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := resp.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, len(body) < maxBufferedBytes, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // bodyWriter adapts a ResponseWriter to io.Writer.
 type bodyWriter struct{ caller ResponseWriter }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -20,6 +20,9 @@
 	Header http.Header
 	// Body holds the blocks of the body; it is nil if the request has none.
 	Body [][]byte
+	// Hold charges a number of bytes that the process holds for the request until its end. After an error, they must not be
+	// held. Nil charges nothing.
+	Hold func(n int64) error
 	// Key is the API key of the caller.
 	Key string
 	// Timeout is the time that the caller waits, or zero if it states none.
