front, router: Bound what callers of the own interface make the process hold

Cause: the own interface read bodies with io.ReadAll and had no bound on the memory of all bodies or on connections. Change: bodies are charged to an account of input.memory_bytes, one remote address gets input.address_bytes, and the listener is bounded by input.connections. A refused body gets 503 memory_exhausted, which says that the request has not run. The tests of front and router pass with the race detector. The own interface was not run as a process with hostile callers.

--- a/front/complete.go
+++ b/front/complete.go
@@ -1,13 +1,17 @@
 package front
 
 import (
+	"bytes"
 	"errors"
-	"io"
 	"net/http"
 
+	"github.com/samber/lo"
+
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/accept"
 	"chicoryhoist.example/hoist/call"
 	"chicoryhoist.example/hoist/engine"
+	"chicoryhoist.example/hoist/intake"
 	"chicoryhoist.example/hoist/metric"
 	"chicoryhoist.example/hoist/prompt"
 	"chicoryhoist.example/hoist/value"
@@ -21,7 +25,9 @@
 		return
 	}
 	requestID := engine.RequestID(id)
-	body, rejection := s.readBody(w, r)
+	ticket := accept.Open(s.account, w, r)
+	defer ticket.Release()
+	body, rejection := s.readBody(w, r, ticket)
 	if rejection != nil {
 		s.reject(w, *rejection, requestID)
 		return
@@ -62,19 +68,40 @@
 	})
 }
 
-// readBody reads the request body up to the size limit.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *ErrorResponse) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes()))
+// readBody reads the request body within the limits. What is held is charged to the ticket, which must be released at the end
+// of the request.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, t *intake.Ticket) ([]byte, *ErrorResponse) {
+	blocks, err := accept.ReadBody(w, r, t, s.limits.BodyBytes(), accept.Rate{Grace: hoist.Millis(s.limits.IdleMs())})
+	var body []byte
+	if err == nil {
+		body, err = joinBlocks(blocks, t)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, &errorBodyTooLarge
+	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrAddressFull), errors.Is(err, intake.ErrDisplaced):
+		return nil, &errorMemoryExhausted
 	case err != nil:
 		return nil, &errorBodyUnreadable
 	}
 	return body, nil
 }
 
+// joinBlocks returns the body in one piece, as the parser of prompts needs it, and charges the copy.
+func joinBlocks(blocks [][]byte, t *intake.Ticket) ([]byte, error) {
+	switch len(blocks) {
+	case 0:
+		return []byte{}, nil
+	case 1:
+		return blocks[0], nil
+	}
+	if err := t.Grow(int64(lo.SumBy(blocks, func(b []byte) int { return len(b) }))); err != nil {
+		return nil, err
+	}
+	return bytes.Join(blocks, nil), nil
+}
+
 // newAsk checks the request against the configuration and the limits and returns the template of its placement requests.
 func (s *Server) newAsk(c caller, p prompt.Prompt) (value.Ask, *ErrorResponse) {
 	request := p.Request()
--- a/front/error.go
+++ b/front/error.go
@@ -45,6 +45,7 @@
 	errorBusy              = NewErrorResponse(http.StatusServiceUnavailable, "too_many_requests_in_progress", "this router has reached its limit of requests in progress").WithRetryAfter(hoist.Second)
 	errorInvalidCredential = NewErrorResponse(http.StatusUnauthorized, "invalid_credential", "the credential is missing, unknown or expired")
 	errorBodyTooLarge      = NewErrorResponse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is over the limit of this router")
+	errorMemoryExhausted   = NewErrorResponse(http.StatusServiceUnavailable, "memory_exhausted", "this router has no memory for the request body").WithRetryAfter(hoist.Second)
 	errorBodyUnreadable    = NewErrorResponse(http.StatusBadRequest, "unreadable_body", "the request body could not be read in time")
 	errorUnknownPath       = NewErrorResponse(http.StatusNotFound, "unknown_path", "no operation has this method and path")
 	errorUnknownModel      = NewErrorResponse(http.StatusNotFound, "unknown_model", "no pool carries the requested model or adapter")
--- a/front/router_test.go
+++ b/front/router_test.go
@@ -117,11 +117,13 @@
 // serve starts the HTTP server for callers as package router does. It returns the address and a function that stops the server.
 func (h *fakeRouter) serve(idle int64) (string, func()) {
 	input := value.Input{}.WithBodyBytes(2000).WithHeaderBytes(2000).WithPromptTokens(100).WithOutputTokens(50).
-		WithMessages(3).WithIdleMs(idle).WithConcurrent(8)
+		WithMessages(3).WithIdleMs(idle).WithConcurrent(8).WithMemoryBytes(16000).WithAddressBytes(6000)
+	settings := value.Settings{}.WithInput(input).WithDatacentre("d")
 	s := &http.Server{
 		Handler: front.New(front.Options{
-			Router: h, Gateway: h.gateway, Services: h, Clock: hoist.NewSystemClock(), Metrics: metric.New(),
-			Settings: value.Settings{}.WithInput(input).WithDatacentre("d"), Incarnation: 0xa7,
+			Account: front.NewAccount(hoist.NewSystemClock(), settings),
+			Router:  h, Gateway: h.gateway, Services: h, Clock: hoist.NewSystemClock(), Metrics: metric.New(),
+			Settings: settings, Incarnation: 0xa7,
 		}),
 		ReadTimeout:    hoist.Millis(idle).Duration(),
 		MaxHeaderBytes: int(input.HeaderBytes()),
--- a/front/server.go
+++ b/front/server.go
@@ -14,6 +14,7 @@
 	"chicoryhoist.example/hoist/config"
 	"chicoryhoist.example/hoist/engine"
 	"chicoryhoist.example/hoist/gate"
+	"chicoryhoist.example/hoist/intake"
 	"chicoryhoist.example/hoist/metric"
 	"chicoryhoist.example/hoist/value"
 )
@@ -46,6 +47,7 @@
 	datacentre  string
 	incarnation uint64
 	services    ServiceRunner
+	account     *intake.Account
 }
 
 // ServiceRunner runs calls to plain services under the rules of idempotency tokens.
@@ -79,13 +81,20 @@
 	Metrics     *metric.Set
 	Settings    value.Settings
 	Incarnation uint64
+	// Account is the memory for request bodies; its limits follow from the settings.
+	Account *intake.Account
+}
+
+// NewAccount returns the account of the settings for request bodies.
+func NewAccount(clock hoist.Clock, s value.Settings) *intake.Account {
+	return intake.NewAccount(clock, s.Input().MemoryBytes(), s.Input().AddressBytes())
 }
 
 // New returns the HTTP handler for callers.
 func New(o Options) http.Handler {
 	s := &Server{
 		router: o.Router, gateway: o.Gateway, clock: o.Clock, metrics: o.Metrics, services: o.Services,
-		limits: o.Settings.Input(), datacentre: o.Settings.Datacentre(), incarnation: o.Incarnation,
+		limits: o.Settings.Input(), datacentre: o.Settings.Datacentre(), incarnation: o.Incarnation, account: o.Account,
 	}
 	mux := http.NewServeMux()
 	api := humago.New(mux, huma.DefaultConfig("chicoryhoist", "1"))
--- a/front/service.go
+++ b/front/service.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/accept"
 	"chicoryhoist.example/hoist/call"
 	"chicoryhoist.example/hoist/engine"
 	"chicoryhoist.example/hoist/idem"
@@ -43,7 +44,9 @@
 		s.reject(w, errorUnknownService, requestID)
 		return
 	}
-	body, rejection := s.readBody(w, r)
+	ticket := accept.Open(s.account, w, r)
+	defer ticket.Release()
+	body, rejection := s.readBody(w, r, ticket)
 	if rejection != nil {
 		s.reject(w, *rejection, requestID)
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -14,11 +14,13 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/accept"
 	"chicoryhoist.example/hoist/cfgsvc"
 	"chicoryhoist.example/hoist/engine"
 	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/front"
 	"chicoryhoist.example/hoist/gate"
+	"chicoryhoist.example/hoist/intake"
 	"chicoryhoist.example/hoist/invar"
 	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/metric"
@@ -200,10 +202,13 @@
 		return nil, eris.Wrap(err, "listen for peers")
 	}
 	idle := hoist.Millis(r.settings.Input().IdleMs()).Duration()
+	account := front.NewAccount(r.clock, r.settings)
+	bounded := accept.Listen(callers, accept.Options{Clock: r.clock, Connections: r.settings.Input().Connections(), Account: account})
 	l := &listeners{
 		callers: &http.Server{
 			Handler: front.New(front.Options{
-				Router: r, Gateway: r.gateway, Services: r.calls, Clock: r.clock, Metrics: r.metrics,
+				Account: account,
+				Router:  r, Gateway: r.gateway, Services: r.calls, Clock: r.clock, Metrics: r.metrics,
 				Settings: r.settings, Incarnation: r.incarnation,
 			}),
 			ReadTimeout:    idle,
@@ -214,13 +219,25 @@
 		peers:  peer.NewServer(r.dispatcher),
 		failed: make(chan error, 3),
 	}
+	accept.Attach(l.callers)
+	r.exportLimits(account, bounded)
 	r.dispatcher.server = l.peers
-	r.spawn(func() { l.reportFailure(l.callers.Serve(callers)) })
+	r.spawn(func() { l.reportFailure(l.callers.Serve(bounded)) })
 	r.spawn(func() { l.reportFailure(l.admin.Serve(admin)) })
 	r.spawn(func() { l.reportFailure(l.peers.Serve(peers)) })
 	return l, nil
 }
 
+// exportLimits registers the counters of refused callers.
+func (r *Router) exportLimits(a *intake.Account, l *accept.Listener) {
+	r.metrics.RegisterGauge("caller_memory_bytes", "Bytes of request bodies and long headers that are held.",
+		func() float64 { return float64(a.State().Used()) })
+	r.metrics.RegisterCounter("bodies_refused_total", "Request bodies refused or dropped because the memory for callers is exhausted.",
+		func() float64 { return float64(a.Full.Load() + a.AddressFull.Load() + a.Displaced.Load()) })
+	r.metrics.RegisterCounter("connections_evicted_total", "Idle connections of callers that were closed for new ones.",
+		func() float64 { return float64(l.Evicted.Load()) })
+}
+
 // reportFailure reports the error of a server that has ended unexpectedly.
 func (l *listeners) reportFailure(err error) {
 	if err != nil && !eris.Is(err, http.ErrServerClosed) {
--- a/value/settings.gen.go
+++ b/value/settings.gen.go
@@ -163,6 +163,9 @@
 	messages     int64
 	idleMs       int64
 	concurrent   int64
+	memoryBytes  int64
+	addressBytes int64
+	connections  int64
 }
 
 // BodyBytes returns the field's value. Maximum size of a request body, in bytes; default 1048576.
@@ -228,6 +231,33 @@
 	return i
 }
 
+// MemoryBytes returns the field's value. Memory for the request bodies of all callers together, in bytes; default 536870912.
+func (i Input) MemoryBytes() int64 { return i.memoryBytes }
+
+// WithMemoryBytes returns a copy with the field replaced.
+func (i Input) WithMemoryBytes(v int64) Input {
+	i.memoryBytes = v
+	return i
+}
+
+// AddressBytes returns the field's value. Memory for the request bodies of one remote address, in bytes; default 536870912.
+func (i Input) AddressBytes() int64 { return i.addressBytes }
+
+// WithAddressBytes returns a copy with the field replaced.
+func (i Input) WithAddressBytes(v int64) Input {
+	i.addressBytes = v
+	return i
+}
+
+// Connections returns the field's value. Maximum number of connections of callers; default 8192.
+func (i Input) Connections() int64 { return i.connections }
+
+// WithConnections returns a copy with the field replaced.
+func (i Input) WithConnections(v int64) Input {
+	i.connections = v
+	return i
+}
+
 // Timing holds the intervals and timeouts of the process.
 type Timing struct {
 	heartbeatMs int64
--- a/wire/settings.value.go
+++ b/wire/settings.value.go
@@ -110,6 +110,9 @@
 	v = v.WithMessages(m.GetMessages())
 	v = v.WithIdleMs(m.GetIdleMs())
 	v = v.WithConcurrent(m.GetConcurrent())
+	v = v.WithMemoryBytes(m.GetMemoryBytes())
+	v = v.WithAddressBytes(m.GetAddressBytes())
+	v = v.WithConnections(m.GetConnections())
 	return v
 }
 
@@ -123,6 +126,9 @@
 	m.SetMessages(v.Messages())
 	m.SetIdleMs(v.IdleMs())
 	m.SetConcurrent(v.Concurrent())
+	m.SetMemoryBytes(v.MemoryBytes())
+	m.SetAddressBytes(v.AddressBytes())
+	m.SetConnections(v.Connections())
 	return m
 }
 
