intake: Count a body that gives way until its memory is released

Cause: the room of a body that gives way was given to another one at once, while its goroutine still held the blocks. On one core many of them wait to run. Change: such a body counts until it is released, and the body that asked waits for that. A body that completes at the moment at which it has to give way is refused, by the same state that chose it, so that an interrupt never reaches a request that runs. The hostile specs pass. The intake, accept, front, relay, http1, edge and router tests pass with the race detector.

--- a/intake/account.go
+++ b/intake/account.go
@@ -21,6 +21,8 @@
 	clock hoist.Clock
 	state atomic.Pointer[State]
 	last  atomic.Uint64
+	// changed is closed and replaced whenever a holding is released or has to give way.
+	changed atomic.Pointer[chan struct{}]
 	// tickets holds the open tickets by the ID of their holding.
 	tickets sync.Map
 	// Full, AddressFull and Displaced count the refusals by their reason.
@@ -32,6 +34,8 @@
 	a := &Account{clock: clock}
 	s := NewState(limit, share)
 	a.state.Store(&s)
+	changed := make(chan struct{})
+	a.changed.Store(&changed)
 	return a
 }
 
@@ -56,28 +60,45 @@
 	return t
 }
 
-// Grow charges n bytes before they are allocated.
+// Grow charges n bytes before they are allocated. It waits for holdings that have to give way.
 func (t *Ticket) Grow(n int64) error {
-	now := t.account.clock.Now()
-	var v Verdict
-	hoist.Update(&t.account.state, func(s State) State {
-		s, v = s.Charge(t.id, n, now)
-		return s
-	})
-	var displaced []uint64
-	var err error
-	switch v := v.(type) {
-	case Granted:
-		displaced = v.Displaced
-	case Refused:
-		displaced, err = v.Displaced, t.account.refuse(v.Reason)
+	a := t.account
+	for {
+		changed, now := *a.changed.Load(), a.clock.Now()
+		var v Verdict
+		hoist.Update(&a.state, func(s State) State {
+			s, v = s.Charge(t.id, n, now)
+			return s
+		})
+		switch v := v.(type) {
+		case Granted:
+			return nil
+		case Waiting:
+			a.displace(v.Displaced)
+			<-changed
+		case Refused:
+			a.displace(v.Displaced)
+			return a.refuse(v.Reason)
+		}
 	}
-	for _, id := range displaced {
-		if x, ok := t.account.tickets.Load(id); ok {
+}
+
+// notify wakes the tickets that wait.
+func (a *Account) notify() {
+	next := make(chan struct{})
+	close(*a.changed.Swap(&next))
+}
+
+// displace interrupts the holdings that have to give way.
+func (a *Account) displace(ids []uint64) {
+	for _, id := range ids {
+		if x, ok := a.tickets.Load(id); ok {
 			x.(*Ticket).displace()
 		}
 	}
-	return err
+	if len(ids) > 0 {
+		a.notify()
+	}
 }
 
 // refuse counts a refusal and returns its error.
@@ -113,8 +134,8 @@
 // Complete records that the body has arrived, so that it does not give way any more. It returns an error if it had to give
 // way already.
 func (t *Ticket) Complete() error {
-	hoist.Update(&t.account.state, func(s State) State { return s.WithComplete(t.id) })
-	if t.Displaced() {
+	s := hoist.Update(&t.account.state, func(s State) State { return s.WithComplete(t.id) })
+	if s.Leaving(t.id) {
 		return ErrDisplaced
 	}
 	return nil
@@ -124,4 +145,5 @@
 func (t *Ticket) Release() {
 	t.account.tickets.Delete(t.id)
 	hoist.Update(&t.account.state, func(s State) State { return s.Without(t.id) })
+	t.account.notify()
 }
--- a/intake/state.go
+++ b/intake/state.go
@@ -30,16 +30,21 @@
 //sumtype:decl
 type Verdict interface{ verdict() }
 
-// Granted means that the charge was made. The holdings in Displaced have been removed to make room for it.
-type Granted struct{ Displaced []uint64 }
+// Granted means that the charge was made.
+type Granted struct{}
 
-// Refused means that the charge was not made. The holdings in Displaced have been removed nonetheless.
+// Waiting means that the charge must be asked for again once another holding has been released. The holdings in Displaced have
+// to give way; they count until they are released, because their memory is in use until then.
+type Waiting struct{ Displaced []uint64 }
+
+// Refused means that the charge was not made. The holdings in Displaced have to give way nonetheless.
 type Refused struct {
 	Reason    Reason
 	Displaced []uint64
 }
 
 func (Granted) verdict() {}
+func (Waiting) verdict() {}
 func (Refused) verdict() {}
 
 // holding is what one request makes the process hold.
@@ -50,26 +55,47 @@
 	progress hoist.Millis
 	// arriving is set until the body is complete; only arriving bodies give way.
 	arriving bool
+	// leaving is set once the body has to give way.
+	leaving bool
+}
+
+// sum is the number of bytes of several holdings; leaving is the part that has to give way.
+type sum struct{ bytes, leaving int64 }
+
+// plus returns the sum with the holding added sign times.
+func (s sum) plus(h holding, sign int64) sum {
+	s.bytes += sign * h.bytes
+	if h.leaving {
+		s.leaving += sign * h.bytes
+	}
+	return s
 }
 
 // State is the content of the account. Values are immutable.
 type State struct {
-	limit, share, used int64
-	holdings           *immutable.Map[uint64, holding]
-	addresses          *immutable.Map[string, int64]
+	limit, share int64
+	total        sum
+	holdings     *immutable.Map[uint64, holding]
+	addresses    *immutable.Map[string, sum]
 }
 
 // NewState returns an empty account of limit bytes, of which one remote address gets at most share.
 func NewState(limit, share int64) State {
-	return State{limit: limit, share: share, holdings: immutable.NewMap[uint64, holding](nil), addresses: immutable.NewMap[string, int64](nil)}
+	return State{limit: limit, share: share, holdings: immutable.NewMap[uint64, holding](nil), addresses: immutable.NewMap[string, sum](nil)}
 }
 
 // Used returns the number of bytes that are held.
-func (s State) Used() int64 { return s.used }
+func (s State) Used() int64 { return s.total.bytes }
 
 // Holdings returns the number of holdings.
 func (s State) Holdings() int { return s.holdings.Len() }
 
+// Leaving reports whether the holding has to give way or has ended.
+func (s State) Leaving(id uint64) bool {
+	h, ok := s.holdings.Get(id)
+	return !ok || h.leaving
+}
+
 // WithHolding returns the state with an empty holding of the address.
 func (s State) WithHolding(id uint64, address string, now hoist.Millis) State {
 	s.holdings = s.holdings.Set(id, holding{address: address, progress: now, arriving: true})
@@ -101,18 +127,27 @@
 		return s
 	}
 	s.holdings = s.holdings.Delete(id)
-	return s.withBytes(h.address, -h.bytes)
+	return s.withSum(h, -1)
+}
+
+// with returns the state in which the holding is replaced.
+func (s State) with(id uint64, h holding) State {
+	if old, ok := s.holdings.Get(id); ok {
+		s = s.withSum(old, -1)
+	}
+	s.holdings = s.holdings.Set(id, h)
+	return s.withSum(h, 1)
 }
 
-// withBytes returns the state in which the address holds n bytes more.
-func (s State) withBytes(address string, n int64) State {
-	held, _ := s.addresses.Get(address)
-	if held += n; held == 0 {
-		s.addresses = s.addresses.Delete(address)
+// withSum returns the state in which the holding is added to the sums sign times.
+func (s State) withSum(h holding, sign int64) State {
+	s.total = s.total.plus(h, sign)
+	held, _ := s.addresses.Get(h.address)
+	if held = held.plus(h, sign); held.bytes == 0 {
+		s.addresses = s.addresses.Delete(h.address)
 	} else {
-		s.addresses = s.addresses.Set(address, held)
+		s.addresses = s.addresses.Set(h.address, held)
 	}
-	s.used += n
 	return s
 }
 
@@ -120,7 +155,7 @@
 // first, then the largest; the holding itself is refused if it is the largest.
 func (s State) Charge(id uint64, n int64, now hoist.Millis) (State, Verdict) {
 	h, ok := s.holdings.Get(id)
-	if !ok {
+	if !ok || h.leaving {
 		return s, Refused{Reason: Displaced}
 	}
 	var displaced []uint64
@@ -128,18 +163,22 @@
 		held, _ := s.addresses.Get(h.address)
 		reason, address := Full, ""
 		switch {
-		case held+n > s.share:
+		case held.bytes-held.leaving+n > s.share:
 			reason, address = AddressFull, h.address
-		case s.used+n <= s.limit:
+		case s.total.bytes-s.total.leaving+n > s.limit:
+		case held.bytes+n > s.share, s.total.bytes+n > s.limit:
+			return s, Waiting{Displaced: displaced}
+		default:
 			h.bytes, h.progress = h.bytes+n, now
-			s.holdings = s.holdings.Set(id, h)
-			return s.withBytes(h.address, n), Granted{Displaced: displaced}
+			return s.with(id, h), Granted{}
 		}
 		victim := s.victim(id, address, h.bytes+n, now)
 		if victim == id {
 			return s, Refused{Reason: reason, Displaced: displaced}
 		}
-		s = s.Without(victim)
+		v, _ := s.holdings.Get(victim)
+		v.leaving = true
+		s = s.with(victim, v)
 		displaced = append(displaced, victim)
 	}
 }
@@ -150,7 +189,7 @@
 	best, bestBytes, bestStalled := id, size, false
 	for i := s.holdings.Iterator(); !i.Done(); {
 		k, h, _ := i.Next()
-		if k == id || !h.arriving || h.bytes == 0 || address != "" && h.address != address {
+		if k == id || !h.arriving || h.leaving || h.bytes == 0 || address != "" && h.address != address {
 			continue
 		}
 		stalled := now-h.progress >= stallTime
