--- a/event/catalog.go
+++ b/event/catalog.go
@@ -104,6 +104,7 @@
 	ContentReleased    = Code{706, logrus.InfoLevel, "content is no longer quarantined, because a server has answered it or other content explains the crashes", "None."}
 	ServerLeaving      = Code{707, logrus.InfoLevel, "backend server has said in a response that it is leaving; it gets no new requests", "None."}
 	ServerPaused       = Code{708, logrus.InfoLevel, "backend server has refused a request and wants none from this instance for a time", "Check its load if it recurs."}
+	CallerLimited      = Code{709, logrus.WarnLevel, "request body was refused; at most one line a second", "See the counters of refused callers in docs/metrics.md if it recurs."}
 	ServerCold         = Code{710, logrus.InfoLevel, "backend server is taken as cold; it gets requests at a limited rate", "None; look at the server if it recurs with the reason down or restarted."}
 	RefusedEarly       = Code{720, logrus.InfoLevel, "requests were refused early, because the engines of a shard are behind; the fields are the inputs of the last one", "Compare expected_ms with left_ms; add engines if it persists, or look at the workspace with the greatest excess."}
 	EnginesLearned     = Code{721, logrus.InfoLevel, "learned speeds of the engines of an owned shard", "Check an engine whose factor stays far from 1."}
@@ -123,7 +124,7 @@
 		ForeignFrame, OperatorDenied,
 		StoreUnreachable, StoreRecovered, StoreCompacted, RoutesInForce, EntryUnreadable, ServerListed, ServerGone, SettingsChecked, SettingsRejected, LogDropped, EvacuationInForce, EvacuationEnded,
 		MeshReadFailed, MeshSendFailed, MeshFull, OwnerUnresponsive, OwnerChanged,
-		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused, ServerCold, RefusedEarly, EnginesLearned,
+		RequestEnded, AttemptFailed, RequestQuarantined, CrashAttributed, PanicContained, CrashUnconfirmed, ContentReleased, ServerLeaving, ServerPaused, CallerLimited, ServerCold, RefusedEarly, EnginesLearned,
 		InvariantViolated,
 	}
 }
--- a/wire/defaults.gen.go
+++ b/wire/defaults.gen.go
@@ -6,6 +6,7 @@
 var Defaults = map[string]int64{
 	"hoist.ForwardClients.body_rate":     1024,
 	"hoist.ForwardClients.body_grace_ms": 5000,
+	"hoist.ForwardClients.unread_ms":     10000,
 	"hoist.ForwardResources.memory_mib":  128,
 	"hoist.ForwardResources.cores":       1,
 	"hoist.ForwardResources.core_share":  1,
@@ -20,6 +21,9 @@
 	"hoist.Input.messages":               512,
 	"hoist.Input.idle_ms":                30000,
 	"hoist.Input.concurrent":             4096,
+	"hoist.Input.memory_bytes":           536870912,
+	"hoist.Input.address_bytes":          536870912,
+	"hoist.Input.connections":            8192,
 	"hoist.Timing.heartbeat_ms":          500,
 	"hoist.Timing.suspect_ms":            2000,
 	"hoist.Timing.drain_ms":              600000,
