relay: Ask the owner again for a request that cold servers hold back

A request that reached no owner was placed by the instance itself and stayed in its own queue until its deadline. Where the instance has no part in the limits on cold servers (63 instances with the rate 17, an overage of 1.5 and a slack of 5), it could not be granted a cold server there, although the owner could be reached again after 500 ms.

A request that waits locally now goes back to the owner if the owner can be reached and the limits on cold servers hold requests back. Nothing changes where no such limit is in force.

TestHeldBackReturnsToOwner timed out after 5 s before the change and passes with it.

--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
@@ -35,17 +36,23 @@
 
 // coldRelay returns a relay that follows a view of n servers whose service has the cold rate.
 func coldRelay(t *testing.T, n int, rate float64) (*Relay, sentNotes) {
+	t.Helper()
+	mesh := sentNotes{make(chan string, 16)}
+	return coldRelayWith(t, mesh, n, rate), mesh
+}
+
+// coldRelayWith returns a relay with the mesh that follows a view of n servers whose service has the cold rate.
+func coldRelayWith(t *testing.T, mesh Mesh, n int, rate float64) *Relay {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	clock := hoist.NewBootClock()
-	mesh := sentNotes{make(chan string, 16)}
 	settings := value.ForwardSettings{}.WithName("i").WithBounds(value.ForwardBounds{}.WithColdOverage(1.5).WithColdSlack(5))
 	r := New(t.Context(), Options{
 		Clock: clock, Client: http1.NewClient(clock, http1.Limits{}), Log: event.NewLog(logger), Mesh: mesh, Settings: settings, Dialect: platform.Dialect(),
 	})
 	r.Follow(nil, coldView(n, rate))
-	return r, mesh
+	return r
 }
 
 // coldView returns a view of n servers whose service has the cold rate.
@@ -156,3 +163,40 @@
 	r.limitCold(s)
 	g.Expect(d.coldLimits).To(gomega.Equal(assign.OwnerColdLimits(s.spec, 1.5, 5)))
 }
+
+// askedOwner is a Mesh that grants the server s1 to each placement request.
+type askedOwner struct{ relay *Relay }
+
+// SendTo grants a placement request.
+func (m *askedOwner) SendTo(name string, b value.DatagramBody) {
+	if a, ok := b.(value.PlaceAsk); ok {
+		m.relay.Receive(name, value.PlaceAnswer{}.WithShard(a.Shard()).WithId(a.Work().Id()).WithVerdict(value.PlaceVerdictGranted).WithServer("s1"))
+	}
+}
+
+// Submit does nothing.
+func (*askedOwner) Submit(member.Event) {}
+
+// Guards against a request that no owner could place at first, and that waits here until its deadline because this instance may
+// place nothing at cold servers, although the owner can be reached again.
+func TestHeldBackReturnsToOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	mesh := &askedOwner{}
+	r := coldRelayWith(t, mesh, 2, 17)
+	mesh.relay = r
+	d := shardOf(g, r, 0)
+	// One of 63 instances may place less than one request in 10 s.
+	d.post(assign.ColdLimitsChanged{Limits: assign.LocalColdLimits((*r.services.Load())["llm"].spec, 1.5, 5, 0, 63)})
+	for s := range d.state.Load().Servers() {
+		d.post(assign.ColdReported{Server: s.Id(), Left: hoist.Minute})
+	}
+	now := d.clock.Now()
+	w := value.Work{}.WithId(7).WithOrigin("i").WithArrivedMs(int64(now)).WithEndMs(int64(now + 10*hoist.Second))
+	placed := make(chan value.PlaceAnswer, 1)
+	go func() { placed <- d.place(t.Context(), w) }()
+	g.Eventually(r.HeldBack).Should(gomega.Equal(1))
+	d.setOwner("o")
+	g.Eventually(placed).WithTimeout(5 * time.Second).Should(gomega.Receive(gomega.HaveField("Server()", "s1")))
+	g.Eventually(r.HeldBack).Should(gomega.BeZero())
+	g.Eventually(func() bool { return d.state.Load().Runs(7) }).Should(gomega.BeTrue())
+}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -252,6 +252,7 @@
 		return refusal
 	}
 	d.post(assign.Submitted{Work: w})
+	recheck := d.clock.After(ownerBackoff)
 	for {
 		select {
 		case a := <-responses:
@@ -259,16 +260,34 @@
 				return a
 			}
 			continue
+		case now := <-recheck:
+			recheck = d.clock.After(ownerBackoff)
+			owner, ok := d.remoteOwner(now)
+			if !ok || d.state.Load().HeldBack() == 0 {
+				continue
+			}
+			// The part of the limits on cold servers that is left to this instance may be none; the owner has a larger one.
+			d.withdraw(w.Id())
+			if a, ok := d.placeAtOwner(ctx, owner, w, responses); ok {
+				return a
+			}
+			d.post(assign.Submitted{Work: w})
+			continue
 		case <-ctx.Done():
 		case <-d.done:
 		}
-		// A server may have been granted in the meantime; the two events together undo a queued and a granted request.
-		d.post(assign.Cancelled{ID: w.Id()})
-		d.post(assign.Finished{ID: w.Id(), Result: assign.ResultCancelled})
+		d.withdraw(w.Id())
 		return value.PlaceAnswer{}
 	}
 }
 
+// withdraw removes a request from the state of this instance. A server may have been granted in the meantime; the two events
+// together undo a queued and a granted request.
+func (d *dispatcher) withdraw(id uint64) {
+	d.post(assign.Cancelled{ID: id})
+	d.post(assign.Finished{ID: id, Result: assign.ResultCancelled})
+}
+
 // placeAtOwner sends placement requests to the owner. It returns false if the request has to be placed here.
 func (d *dispatcher) placeAtOwner(ctx context.Context, owner string, w value.Work, responses <-chan value.PlaceAnswer) (value.PlaceAnswer, bool) {
 	lastResponse, timeout := d.clock.Now(), ownerTimeout
