assign: Leave leaving servers out of the permitted ones of a shard

During an evacuation, or with regions, a request moves to another shard if its own has no permitted server. A server that is leaving counted as permitted, although it takes no new requests, so that a shard whose only permitted servers were leaving refused requests that another shard could run.

TestShardWithLeavingServers fails without the change and passes with it.

--- a/assign/eligible.go
+++ b/assign/eligible.go
@@ -25,10 +25,10 @@
 }
 
 // Permits reports whether any server of the shard may run a request of the regions, empty for all, as far as evacuations and
-// regions decide.
+// regions decide. A server that is leaving takes no new requests.
 func (s State) Permits(regions value.List[string]) bool {
 	for x := range s.servers.All() {
-		if Permitted(x.entry, regions) {
+		if !x.entry.Leaving() && Permitted(x.entry, regions) {
 			return true
 		}
 	}
--- a/relay/exclusion_test.go
+++ b/relay/exclusion_test.go
@@ -297,3 +297,26 @@
 		g.Expect(s.permitting(d, value.ListOf("south"))).To(gomega.BeIdenticalTo(d))
 	}
 }
+
+// TestShardWithLeavingServers guards against requests that are refused because the only permitted servers of their shard are
+// leaving, while another shard has some that are not.
+func TestShardWithLeavingServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	clock := hoist.NewBootClock()
+	r := New(t.Context(), Options{Clock: clock, Client: http1.NewClient(clock, http1.Limits{}), Log: event.NewLog(logger)})
+	v := viewOf(40, false)
+	var servers []value.BackendServer
+	for i, s := range slices.Collect(v.Servers.All()) {
+		first := shardIndex(s.Id(), 2) == 0
+		servers = append(servers, s.WithEvacuated(first && i%2 == 0).WithLeaving(first && i%2 != 0))
+	}
+	v.Servers = value.ListOf(servers...)
+	r.Follow(nil, v)
+	s := (*r.services.Load())["llm"]
+	for _, d := range s.dispatchers {
+		g.Eventually(func() bool { return d.state.Load().Listed() }).Should(gomega.BeTrue())
+	}
+	g.Expect(s.permitting(s.dispatchers[0], value.List[string]{})).To(gomega.BeIdenticalTo(s.dispatchers[1]))
+}
