relay: Check the key by the view for which a request has waited

With evacuate_ms set, a request of an instance that was suspended waits up to 300 ms for a newer view before it is sent. The key was checked before that wait, so a request whose key the newer view shows as revoked was still sent.

--- a/relay/exclusion_test.go
+++ b/relay/exclusion_test.go
@@ -273,6 +273,30 @@
 	}
 }
 
+// TestSuspendedInstanceRevokedKey guards against a request whose key was revoked while the instance was suspended, and that is
+// sent although the view for which it has waited shows the revocation.
+func TestSuspendedInstanceRevokedKey(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := value.RouteTarget{}.WithService("app").WithWeight(1)
+	table := value.RouteTable{}.WithVersion(1).
+		WithRoutes(value.ListOf(value.Route{}.WithName("r").WithHost("a").WithPrefix("/").WithTargets(value.ListOf(target)).WithAttempts(1)))
+	holder := value.KeyHolder{}.WithName("t").WithKeys(value.ListOf("k"))
+	source := suspendedSource{
+		fixedSource: fixedSource{value.FeedRecord{}.WithKey("table").WithRevision(1).WithBody(table.WithHolders(value.ListOf(holder))), startServer(t, "a1", "x")},
+		change:      value.FeedRecord{}.WithKey("table").WithRevision(9).WithBody(table.WithVersion(2)), resumed: make(chan struct{}),
+	}
+	owner := &unawareOwner{servers: []string{"a1"}, onAsk: sync.OnceFunc(func() { close(source.resumed) })}
+	clock := patientClock{hoist.NewBootClock()}
+	owner.relay = startRelay(t, source, owner, clock, 2*staleAge)
+	g.Eventually(func() bool { return owner.relay.Follower.View().Age(clock.Now()) > staleAge }).Should(gomega.BeTrue())
+	request := requestAt(clock.Now())
+	request.Key = "k"
+	a := &answer{}
+	owner.relay.Serve(t.Context(), request, a)
+	g.Expect(a.body.String()).To(gomega.BeEmpty())
+	g.Expect(a.refusal).To(gomega.Equal(UnknownKey{}))
+}
+
 // TestShardWithoutPermittedServer guards against requests that are refused because all servers of their shard are
 // evacuated or outside their regions while another shard has some.
 func TestShardWithoutPermittedServer(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -332,7 +332,8 @@
 			j.finishUnplaced(ctx, a)
 			return
 		}
-		// The request may have waited for the server.
+		v := j.viewBeforeSending(ctx)
+		// The request may have waited for the server, and for a newer view.
 		if j.isKeyRevoked() {
 			j.dispatcher.finished(id, assign.ResultCancelled)
 			j.finishUnsent(UnknownKey{})
@@ -340,7 +341,7 @@
 		}
 		j.server, j.placement = a.Server(), a
 		j.grantTime = j.Clock.Now() - j.request.Arrived
-		o := j.sendGranted(ctx, id)
+		o := j.sendGranted(ctx, id, v)
 		var step Step
 		j.progress, step = j.progress.Next(o, j.Clock.Now())
 		if r, retry := step.(Retry); retry {
@@ -354,9 +355,8 @@
 
 // sendGranted sends the request to the granted server, unless this instance knows that the server is leaving, lost or
 // excluded, or wants no requests from it now. The owner that has granted the server is told again, except of evacuations,
-// which it learns from the store.
-func (j *job) sendGranted(ctx context.Context, id uint64) Outcome {
-	v := j.viewBeforeSending(ctx)
+// which it learns from the store. The server is checked by the view.
+func (j *job) sendGranted(ctx context.Context, id uint64, v *feed.View) Outcome {
 	s, ok := j.dispatcher.state.Load().Server(j.server)
 	notices := j.notices.Load()
 	pause := notices.PausedFor(s, j.Clock.Now())
