assign: Remember servers whose entries are removed for a while

A server whose entry was removed and written again with the same start time, as after an outage of the store, was taken as new: it was limited to the share of a cold server for the whole cold start. The grants to it were forgotten as well, so that it got up to 32 requests in a second instead of at most 24 when its entry was away for 50 ms; the limit of the server is 30.5.

The state now remembers up to 64 removed servers, with how long they are cold and the last grants to them. A newer start time still counts as a restart.

The two new tests fail without the change (the server is cold; 32 requests) and pass with it.

--- a/assign/cold.go
+++ b/assign/cold.go
@@ -8,6 +8,9 @@
 // coldLogInterval is the shortest time between two reports that the same server is taken as cold.
 const coldLogInterval = hoist.Second
 
+// maxUnlisted bounds the servers that are remembered after their entries were removed: those of a whole shard.
+const maxUnlisted = 64
+
 // ColdReason is why a server is taken as cold.
 type ColdReason int
 
@@ -142,6 +145,42 @@
 	return c
 }
 
+// withUnlisted returns a copy that remembers how long the removed servers are cold and the grants to them, and forgets those
+// that are listed again.
+func (s State) withUnlisted(removed map[string]server, u ServersUpdated) State {
+	if !s.coldLimits.Enforced || len(removed) == 0 && s.unlisted.Len() == 0 {
+		return s
+	}
+	listed := map[string]bool{}
+	for e := range u.Servers.All() {
+		listed[e.Id()] = true
+	}
+	var kept []server
+	for x := range s.unlisted.All() {
+		if !listed[x.entry.Id()] {
+			kept = append(kept, x)
+		}
+	}
+	for x := range s.servers.All() {
+		if _, ok := removed[x.entry.Id()]; ok {
+			kept = append(kept, server{entry: x.entry, cold: x.cold, grants: x.grants})
+		}
+	}
+	s.unlisted = value.ListOf(kept[max(len(kept)-maxUnlisted, 0):]...)
+	return s
+}
+
+// relisted returns what is remembered of a server that is listed again with the same start time: its entry was removed while
+// it ran, for example because it could not reach the store, and it is not new.
+func (s State) relisted(e value.BackendServer) (server, bool) {
+	for x := range s.unlisted.All() {
+		if x.entry.Id() == e.Id() && x.entry.Born() == e.Born() && e.Born() > 0 {
+			return x, true
+		}
+	}
+	return server{}, false
+}
+
 // withColdReported returns a copy in which a response of the server has stated how long it stays cold.
 func (s State) withColdReported(e ColdReported, now hoist.Millis) State {
 	return s.withServer(e.Server, func(x server) server {
--- a/assign/cold_test.go
+++ b/assign/cold_test.go
@@ -182,6 +182,28 @@
 	without := entries([]string{"a:1:0", "b:1:0", "c:1:0"})
 	again := entries([]string{"a:1:0", "b:1:0", "c:1:0", "d:2:0"})
 
+	// Guards against servers that are limited as new ones although they have run all the time and only their entries were away,
+	// as after an outage of the store; and against a restart meanwhile that goes unnoticed.
+	It("are not those whose entries were away for a while", func() {
+		f := newFleet(warm, ownerLimits())
+		f.all(assign.ServersUpdated{Servers: without}, 5000)
+		f.all(assign.ServersUpdated{Servers: warm}, 9000)
+		Expect(f.states[0].ColdFor("d", 9000)).To(BeZero())
+		f.all(assign.ServersUpdated{Servers: without}, 10000)
+		f.all(assign.ServersUpdated{Servers: again}, 11000)
+		Expect(f.states[0].ColdFor("d", 11000)).To(BeNumerically("==", coldStart))
+	})
+
+	// Guards against a server whose requests of the last second are forgotten while its entry is away.
+	It("keep the count of their requests while their entries are away", func() {
+		f := newFleet(entries([]string{"d:1:0"}), ownerLimits())
+		f.run(0, 400)
+		f.all(assign.ServersUpdated{}, 400)
+		f.all(assign.ServersUpdated{Servers: entries([]string{"d:1:0"})}, 450)
+		f.run(450, 2000)
+		Expect(f.busiest("d", 0)).To(BeNumerically("<=", ownerAnyShare))
+	})
+
 	// Guards against an idle server that crashes again because it gets the whole demand when it comes back.
 	It("get at most the owner's share when they come back under full demand", func() {
 		f := newFleet(warm, ownerLimits())
--- a/assign/state.go
+++ b/assign/state.go
@@ -20,6 +20,8 @@
 	retryBudget retry.Bucket
 	retryLimits RetryLimits
 	coldLimits  ColdLimits
+	// unlisted are servers that were listed before, the last removed one last.
+	unlisted value.List[server]
 	// learned is set once the state has had servers.
 	learned bool
 	// heldBack is the number of queued requests that only the limits on cold servers hold back.
@@ -267,6 +269,9 @@
 	var servers []server
 	for e := range u.Servers.All() {
 		x, ok := known[e.Id()]
+		if !ok {
+			x, ok = s.relisted(e)
+		}
 		x.cold = s.coldAfter(x, ok, e, u, now)
 		if !ok || x.entry.Born() != e.Born() || x.entry.Address() != e.Address() {
 			x = server{cold: x.cold, grants: x.grants}
@@ -276,7 +281,9 @@
 			x = x.withLeaving()
 		}
 		servers = append(servers, x)
+		delete(known, e.Id())
 	}
+	s = s.withUnlisted(known, u)
 	s.servers, s.learned = value.ListOf(servers...), s.learned || len(servers) > 0
 	return s
 }
