--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -92,7 +92,7 @@
 				l.returned = append(l.returned, w)
 				slices.SortStableFunc(l.returned, func(a, b value.Work) int { return cmp.Compare(a.ArrivedMs(), b.ArrivedMs()) })
 			}
-		case assign.Queued:
+		case assign.Queued, assign.TakenCold:
 		}
 	}
 }
--- a/assign/state.go
+++ b/assign/state.go
@@ -133,16 +133,7 @@
 	case Cancelled:
 		s = s.withoutWaiting(e.ID)
 	case Responded:
-		rate, learned := s.promptRate(), s
-		s = s.withServerOf(e.ID, func(x server) server {
-			learned = s.withDelay(x, e.ID, rate, now)
-			x = x.withFirstResponse(e.ID, s.coldLimits, now).withSample(e.ID, rate, now).withResponse(e.ID)
-			if e.Loaded {
-				x = x.withLoad(e.Load, now)
-			}
-			return x
-		})
-		s.delays = learned.delays
+		s = s.withResponded(e, now)
 	case Finished:
 		s = s.withFinished(e, now)
 	case ServersUpdated:
@@ -179,6 +170,21 @@
 	return s, effects
 }
 
+// withResponded returns a copy after the response to a request has begun.
+func (s State) withResponded(e Responded, now hoist.Millis) State {
+	rate, learned := s.promptRate(), s
+	s = s.withServerOf(e.ID, func(x server) server {
+		learned = s.withDelay(x, e.ID, rate, now)
+		x = x.withFirstResponse(e.ID, s.coldLimits, now).withSample(e.ID, rate, now).withResponse(e.ID)
+		if e.Loaded {
+			x = x.withLoad(e.Load, now)
+		}
+		return x
+	})
+	s.delays = learned.delays
+	return s
+}
+
 // isQueued reports whether the request is in the queue.
 func (s State) isQueued(id uint64) bool {
 	for w := range s.waiting.All() {
