assign: Bound the reported slowness that scales a sample

The prompt tokens of a sample are multiplied by the slowness that the engine reported. The rate of a shard is learned from the sums of all engines, so that one engine with a false report of 10,000 times the usual slowness raised the rate to its bound of 10,000 tokens per millisecond. Predicted times then stay below the shortest time of a sample, so that nothing is learned any more, the expected times are too short for any early refusal, and reading a part again costs nothing. The slowness counts within the bounds of a factor now.

--- a/assign/model.go
+++ b/assign/model.go
@@ -80,11 +80,14 @@
 
 // expectedTokens returns the prompt tokens that the server computes before the first event of the request, multiplied by
 // its slowness. It is zero if no model is to be learned.
+//
+// The slowness counts only within the bounds of a factor: the rate of the shard is learned from the sums of all engines, which
+// a single engine with a false report of any size would dominate.
 func (s State) expectedTokens(x server, w value.Work, uncached int32, now hoist.Millis) float64 {
 	if !s.rules.Engines {
 		return 0
 	}
-	return x.slowness(now) * (x.tokensAhead(w.Rank()) + float64(uncached))
+	return min(max(x.slowness(now), minFactor), maxFactor) * (x.tokensAhead(w.Rank()) + float64(uncached))
 }
 
 // withSample returns a copy that has learned from the first event of the request, if the request was placed by this state.
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -214,3 +214,45 @@
 		}
 	}
 })
+
+// Pattern: one of four engines reports in each response that it is ten thousand times as slow as usual. Guards against a rate
+// of the shard, and against factors of the other engines, that the false reports of one of them decide.
+var _ = It("bounds what a falsely reported slowness teaches", func() {
+	l := newLab(owned, 64, 42.8, 1, 1, 1, 1)
+	names := []string{}
+	for x := range l.state.Servers() {
+		names = append(names, x.Id())
+	}
+	id := uint64(0)
+	for now := hoist.Millis(1000); now < 60000; now += 100 {
+		for _, name := range names {
+			id++
+			load := value.ServerLoad{}.WithRunning(1).WithSlots(64).WithSlowness(100)
+			if name == names[0] {
+				load = load.WithSlowness(1000000)
+			}
+			var avoid []string
+			for _, other := range names {
+				if other != name {
+					avoid = append(avoid, other)
+				}
+			}
+			w := value.Work{}.WithId(id).WithOrigin("n").WithDatacentre("x").WithRank(2).WithArrivedMs(int64(now)).WithEndMs(int64(now) + 6000).
+				WithAvoid(value.ListOf(avoid...)).WithParts(value.ListOf(value.PromptPart{}.WithId(id).WithTokens(4280)))
+			l.state, _ = l.state.Decide(assign.Submitted{Work: w}, now)
+			// Each engine needs 100 ms.
+			l.state, _ = l.state.Decide(assign.Responded{ID: id, Load: load, Loaded: true}, now+100)
+			l.state, _ = l.state.Decide(assign.Finished{ID: id, Result: assign.ResultOK}, now+100)
+		}
+	}
+	rate, models := l.state.Models()
+	fmt.Fprintf(GinkgoWriter, "rate %.1f, models %v\n", rate, models)
+	Expect(rate).To(And(BeNumerically(">", 42.8/2), BeNumerically("<", 42.8*2)))
+	for _, m := range models {
+		if m.Server != names[0] {
+			Expect(m.Factor).To(And(BeNumerically(">", 0.5), BeNumerically("<", 2)))
+			// The time that an engine takes for a token is learned in any case.
+			Expect(m.Factor / rate * 42.8).To(BeNumerically("~", 1, 0.2))
+		}
+	}
+})
