assign: Divide shares among the workspaces that still send

The equal part by which a workspace is compared divided what was sent by every workspace ever seen at the rank. A workspace that sent alone after 24 had sent before was refused as far above its share, although its requests could be served in time and nobody else asked.

--- a/assign/refusal_test.go
+++ b/assign/refusal_test.go
@@ -224,3 +224,26 @@
 	Expect(refusedOf[0]).To(BeNumerically("<", refusedOf[1]))
 	Expect(refusedOf[1]).To(BeNumerically("<=", refusedOf[2]))
 })
+
+// Pattern: 24 workspaces send at one rank; then only one of them does, ten times as much, and engines are behind. Guards against
+// a share that is divided among workspaces which no longer send, so that requests are refused for nobody's benefit.
+var _ = It("refuses nobody for its share while no other workspace sends", func() {
+	l := newLab(owned, 4, 42.8, 1, 1, 1)
+	var works []value.Work
+	add := func(t float64, workspace int, tokens int32) {
+		id := uint64(len(works) + 1)
+		works = append(works, value.Work{}.WithId(id).WithOrigin("n").WithDatacentre("x").WithRank(2).WithTargetMs(1200).WithWorkspace(fmt.Sprint("w", workspace)).
+			WithArrivedMs(int64(t)).WithEndMs(int64(t)+6000).WithFingerprint(id).WithParts(value.ListOf(value.PromptPart{}.WithId(id).WithTokens(tokens))))
+	}
+	const alone, end = 30000, 60000
+	for t := 1.0; t < alone; t += 50 {
+		add(t, len(works)%24, 1000)
+	}
+	for t := float64(alone + 10000); t < end; t += 60 {
+		add(t, 0, 9000)
+	}
+	l.run(works, end)
+	fmt.Fprintf(GinkgoWriter, "refused %d, in time %d, late %d\n", len(l.refused), l.inTime(), l.late)
+	Expect(l.refused).To(BeEmpty())
+	Expect(l.late).To(BeZero())
+})
--- a/assign/usage.go
+++ b/assign/usage.go
@@ -18,6 +18,9 @@
 	// usualExcess is the multiple of what it usually sends up to which a workspace changes that: a burst does not become usual,
 	// but the double load does within usualWindow.
 	usualExcess = 2
+	// activeWindow is the time since its last request for which a workspace counts in the division into equal parts. A share that
+	// is kept free for workspaces that no longer send serves nobody.
+	activeWindow = 2 * recentWindow
 	// maxUsages bounds the workspaces of a table; the one that has sent least lately is dropped.
 	maxUsages = 64
 )
@@ -95,7 +98,8 @@
 }
 
 // excess returns the multiple of its share that the workspace of the request has sent lately at its rank. The share is
-// the greater of what the workspace usually sends and of an equal part of what all workspaces of the rank have sent.
+// the greater of what the workspace usually sends and of an equal part of what all workspaces of the rank have sent, divided
+// among those that sent something within activeWindow.
 func (t usages) excess(w value.Work, now hoist.Millis) float64 {
 	var own usage
 	var total, active float64
@@ -103,9 +107,11 @@
 		if u.rank != w.Rank() {
 			continue
 		}
+		if now-u.at <= activeWindow {
+			active++
+		}
 		u = u.decayed(now)
 		total += u.recent
-		active++
 		if u.workspace == w.Workspace() {
 			own = u
 		}
@@ -114,7 +120,7 @@
 	if own.recent == 0 || recentTime == 0 {
 		return 0
 	}
-	return (own.recent / recentTime) / max(own.usual/usualTime, total/active/recentTime)
+	return (own.recent / recentTime) / max(own.usual/usualTime, total/max(active, 1)/recentTime)
 }
 
 // promptTokens returns the length of the prompt.
