relay: Ignore answers of an owner that was given up

An instance that gets no answer from the owner of a shard withdraws its request there and places it itself, but went on to read answers from both. An answer of the owner that crosses the withdrawal, as when the owner was suspended for a moment, ended the request with a refusal, or with a grant that the owner no longer counts. The own state kept the request in its queue or at a server for ever, and the reconciliation list reported it to the owner from then on. With at most three unanswered requests at a server, three such requests keep an instance from placing anything there by itself. Waiting for room makes the time longer in which it can happen.

The request now reads only the decisions of this instance, and a late grant is withdrawn again. TestLateAnswers was seen to get the refusal before.

--- a/relay/balance_test.go
+++ b/relay/balance_test.go
@@ -208,3 +208,43 @@
 	}
 	g.Expect(m.answersOf(value.PlaceVerdictRefused)[0].Load().Servers()).To(gomega.BeEquivalentTo(20))
 }
+
+// lateOwner is a Mesh whose owner answers only when it is told that the request is withdrawn.
+type lateOwner struct {
+	relay   *Relay
+	verdict value.PlaceVerdict
+}
+
+// SendTo answers a note that a request is withdrawn.
+func (m *lateOwner) SendTo(name string, b value.DatagramBody) {
+	if n, ok := b.(value.PlaceNote); ok && n.Change() == value.PlaceChangeWithdrawn {
+		m.relay.Receive(name, value.PlaceAnswer{}.WithShard(n.Shard()).WithId(n.Id()).WithVerdict(m.verdict).WithServer("s1").WithOverload(true))
+	}
+}
+
+// Submit does nothing.
+func (*lateOwner) Submit(member.Event) {}
+
+// TestLateAnswers guards against a late answer of an owner that was given up, in place of the decision of this instance: the
+// request would count at a server for ever, and a refused one could have been served.
+func TestLateAnswers(t *testing.T) {
+	for _, verdict := range []value.PlaceVerdict{value.PlaceVerdictRefused, value.PlaceVerdictGranted} {
+		g := gomega.NewWithT(t)
+		r, _ := balancedRelay(t, 64)
+		r.Mesh = &lateOwner{r, verdict}
+		r.Follow(nil, balancedView(20, 64, -1))
+		d := (*r.services.Load())["llm"].dispatchers[0]
+		g.Eventually(func() bool { return d.state.Load().Listed() }).Should(gomega.BeTrue())
+		d.setOwner("o")
+		now := int64(r.Clock.Now())
+		w := value.Work{}.WithId(7).WithOrigin("n1").WithParts(prompt("x", 1).Parts).WithArrivedMs(now).WithEndMs(now + 10000)
+		a := d.place(t.Context(), w)
+		g.Expect(a.Verdict()).To(gomega.Equal(value.PlaceVerdictGranted))
+		placed, ok := d.state.Load().Work(7)
+		g.Expect(ok).To(gomega.BeTrue())
+		g.Expect(placed.Id()).To(gomega.BeEquivalentTo(7))
+		d.finished(7, assign.ResultOK)
+		g.Eventually(func() int { return d.state.Load().Running() }).Should(gomega.BeZero())
+		g.Expect(d.state.Load().Waiting()).To(gomega.BeZero())
+	}
+}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -158,10 +158,18 @@
 	return d.stated
 }
 
+// localResponses is the response channel of a request that this instance places itself. Answers of an owner that was given up
+// are not for it: the owner has been told that the request is withdrawn, and this instance may have placed it already.
+type localResponses chan value.PlaceAnswer
+
 // trySend sends a placement response without blocking; the channel has room for the responses that a request reads.
 func trySend(c any, a value.PlaceAnswer) {
+	responses, ok := c.(chan value.PlaceAnswer)
+	if !ok {
+		responses = c.(localResponses)
+	}
 	select {
-	case c.(chan value.PlaceAnswer) <- a:
+	case responses <- a:
 	default:
 	}
 }
@@ -251,10 +259,12 @@
 	if refusal, ok := d.guard.admit(w, hoist.Millis(w.EndMs())-d.clock.Now()); ok {
 		return refusal
 	}
+	local := make(localResponses, responseBufferSize)
+	d.waiters.Store(w.Id(), local)
 	d.post(assign.Submitted{Work: w})
 	for {
 		select {
-		case a := <-responses:
+		case a := <-local:
 			if a.Verdict() == value.PlaceVerdictGranted || a.Verdict() == value.PlaceVerdictRefused {
 				return a
 			}
--- a/relay/service.go
+++ b/relay/service.go
@@ -208,9 +208,10 @@
 func (r *Relay) Receive(sender string, b value.DatagramBody) {
 	switch b := b.(type) {
 	case value.PlaceAnswer:
-		if c, ok := r.waiters.Load(b.Id()); ok {
+		c, waits := r.waiters.Load(b.Id())
+		if _, local := c.(localResponses); waits && !local {
 			trySend(c, b)
-		} else if d, ok := r.dispatcherOf(b.Shard()); ok && b.Verdict() == value.PlaceVerdictGranted && !d.state.Load().Runs(b.Id()) {
+		} else if d, ok := r.dispatcherOf(b.Shard()); ok && b.Verdict() == value.PlaceVerdictGranted && (local || !d.state.Load().Runs(b.Id())) {
 			d.notify(sender, value.PlaceNote{}.WithId(b.Id()).WithChange(value.PlaceChangeWithdrawn))
 		}
 	case value.PlaceAsk:
