assign: Look through promises without copying them

Each request submitted to an owner copied the list of the callers that keep a place, up to 128, also if none of them was dropped. The list is only copied when one is dropped now. The rate is not summed up for requests that fit, and the sums over servers do not copy the request for each server.

--- a/assign/eligible.go
+++ b/assign/eligible.go
@@ -7,7 +7,12 @@
 
 // eligible reports whether the server may ever run the request.
 func eligible(x server, w value.Work) bool {
-	return !x.entry.Leaving() && Permitted(x.entry, w.Regions()) && !avoided(w, x.entry.Id())
+	return x.serves(w.Regions()) && !avoided(w, x.entry.Id())
+}
+
+// serves reports whether the server may get requests of the regions, empty for all.
+func (s server) serves(regions value.List[string]) bool {
+	return !s.entry.Leaving() && Permitted(s.entry, regions)
 }
 
 // Permitted reports whether evacuations and the regions of a request, empty for all, permit it to run at the server. A server
--- a/assign/load.go
+++ b/assign/load.go
@@ -11,7 +11,7 @@
 	var pending float64
 	rate := s.promptRate()
 	for x := range s.servers.All() {
-		if !eligible(x, value.Work{}) {
+		if !x.serves(value.List[string]{}) {
 			continue
 		}
 		servers++
--- a/assign/model.go
+++ b/assign/model.go
@@ -54,8 +54,9 @@
 		return prefillTokensPerMs
 	}
 	tokens, observed := prefillTokensPerMs*modelPrior, modelPrior
-	for x := range s.servers.All() {
-		tokens, observed = tokens+x.model.tokens, observed+x.model.observed
+	for i := range s.servers.Len() {
+		m := s.servers.At(i).model
+		tokens, observed = tokens+m.tokens, observed+m.observed
 	}
 	return min(max(tokens/observed, minPromptRate), maxPromptRate)
 }
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -143,29 +143,44 @@
 // takePlace returns the time at which the caller of the request first asked, and a copy without the promise to it and
 // without those whose callers have not come back.
 func (s State) takePlace(w value.Work, now hoist.Millis) (hoist.Millis, State) {
-	asked := hoist.Millis(w.ArrivedMs())
-	var kept []promise
-	for p := range s.refusals.promises.All() {
-		switch {
-		case w.Fingerprint() != 0 && p.fingerprint == w.Fingerprint():
+	asked, dropped := hoist.Millis(w.ArrivedMs()), 0
+	for i := range s.refusals.promises.Len() {
+		switch p := s.refusals.promises.At(i); {
+		case p.isTo(w):
 			asked = min(asked, p.asked)
-		case p.at+returnGrace > now:
-			kept = append(kept, p)
+			dropped++
+		case p.at+returnGrace <= now:
+			dropped++
 		}
 	}
-	if len(kept) < s.refusals.promises.Len() {
-		s.refusals.promises = value.ListOf(kept...)
+	// Most requests drop no promise, and copying the list takes longer than looking through it.
+	if dropped == 0 {
+		return asked, s
+	}
+	kept := make([]promise, 0, s.refusals.promises.Len()-dropped)
+	for p := range s.refusals.promises.All() {
+		if !p.isTo(w) && p.at+returnGrace > now {
+			kept = append(kept, p)
+		}
 	}
+	s.refusals.promises = value.ListOf(kept...)
 	return asked, s
 }
 
+// isTo reports whether the promise was given to the caller of the request.
+func (p promise) isTo(w value.Work) bool {
+	return w.Fingerprint() != 0 && p.fingerprint == w.Fingerprint()
+}
+
 // refusalInputs returns what a refusal of the request would be based on, and the uncached tokens at the best server. It
 // returns false if no server is known that may run the request.
 func (s State) refusalInputs(w value.Work, asked, now hoist.Millis) (in RefusalInputs, uncached int32, known bool) {
-	in = RefusalInputs{Left: hoist.Millis(w.EndMs()) - now, Rate: s.promptRate(), Waiting: s.waiting.Len(), Rank: w.Rank(), Workspace: w.Workspace()}
-	usable := 0
-	for x := range s.servers.All() {
-		if !eligible(x, w) {
+	in = RefusalInputs{Left: hoist.Millis(w.EndMs()) - now, Waiting: s.waiting.Len(), Rank: w.Rank(), Workspace: w.Workspace()}
+	usable, regions := 0, w.Regions()
+	for i := range s.servers.Len() {
+		x := s.servers.At(i)
+		// A request that is refused early avoids no server.
+		if !x.serves(regions) {
 			continue
 		}
 		usable++
@@ -177,6 +192,7 @@
 	if 2*in.Taken < in.Slots && in.Waiting == 0 {
 		return in, 0, true
 	}
+	in.Rate = s.promptRate()
 	best := math.Inf(1)
 	for pass := range 2 {
 		for x := range s.servers.All() {
--- a/assign/usage.go
+++ b/assign/usage.go
@@ -54,10 +54,9 @@
 	if t.since == 0 {
 		t.since = now
 	}
-	tokens := float64(promptTokens(w))
+	tokens, workspace, rank := float64(promptTokens(w)), w.Workspace(), w.Rank()
 	for i := range t.list.Len() {
-		u := t.list.At(i)
-		if u.workspace == w.Workspace() && u.rank == w.Rank() {
+		if u := t.list.At(i); u.rank == rank && u.workspace == workspace {
 			u = u.decayed(now)
 			u.recent += tokens
 			u.usual += tokens * min(1, usualExcess/t.growth(u, now))
@@ -65,7 +64,7 @@
 			return t
 		}
 	}
-	u := usage{w.Workspace(), w.Rank(), tokens, tokens, now}
+	u := usage{workspace, rank, tokens, tokens, now}
 	if t.list.Len() < maxUsages {
 		t.list = t.list.Append(u)
 		return t
