--- a/assign/model.go
+++ b/assign/model.go
@@ -54,8 +54,9 @@
 		return prefillTokensPerMs
 	}
 	tokens, observed := prefillTokensPerMs*modelPrior, modelPrior
-	for x := range s.servers.All() {
-		tokens, observed = tokens+x.model.tokens, observed+x.model.observed
+	for i := range s.servers.Len() {
+		m := s.servers.At(i).model
+		tokens, observed = tokens+m.tokens, observed+m.observed
 	}
 	return min(max(tokens/observed, minPromptRate), maxPromptRate)
 }
@@ -80,11 +81,14 @@
 
 // expectedTokens returns the prompt tokens that the server computes before the first event of the request, multiplied by
 // its slowness. It is zero if no model is to be learned.
+//
+// The slowness counts only within the bounds of a factor: the rate of the shard is learned from the sums of all engines, which
+// a single engine with a false report of any size would dominate.
 func (s State) expectedTokens(x server, w value.Work, uncached int32, now hoist.Millis) float64 {
 	if !s.rules.Engines {
 		return 0
 	}
-	return x.slowness(now) * (x.tokensAhead(w.Rank()) + float64(uncached))
+	return min(max(x.slowness(now), minFactor), maxFactor) * (x.tokensAhead(w.Rank()) + float64(uncached))
 }
 
 // withSample returns a copy that has learned from the first event of the request, if the request was placed by this state.
--- a/assign/usage.go
+++ b/assign/usage.go
@@ -18,6 +18,9 @@
 	// usualExcess is the multiple of what it usually sends up to which a workspace changes that: a burst does not become usual,
 	// but the double load does within usualWindow.
 	usualExcess = 2
+	// activeWindow is the time since its last request for which a workspace counts in the division into equal parts. A share that
+	// is kept free for workspaces that no longer send serves nobody.
+	activeWindow = 2 * recentWindow
 	// maxUsages bounds the workspaces of a table; the one that has sent least lately is dropped.
 	maxUsages = 64
 )
@@ -51,10 +54,9 @@
 	if t.since == 0 {
 		t.since = now
 	}
-	tokens := float64(promptTokens(w))
+	tokens, workspace, rank := float64(promptTokens(w)), w.Workspace(), w.Rank()
 	for i := range t.list.Len() {
-		u := t.list.At(i)
-		if u.workspace == w.Workspace() && u.rank == w.Rank() {
+		if u := t.list.At(i); u.rank == rank && u.workspace == workspace {
 			u = u.decayed(now)
 			u.recent += tokens
 			u.usual += tokens * min(1, usualExcess/t.growth(u, now))
@@ -62,7 +64,7 @@
 			return t
 		}
 	}
-	u := usage{w.Workspace(), w.Rank(), tokens, tokens, now}
+	u := usage{workspace, rank, tokens, tokens, now}
 	if t.list.Len() < maxUsages {
 		t.list = t.list.Append(u)
 		return t
@@ -95,7 +97,8 @@
 }
 
 // excess returns the multiple of its share that the workspace of the request has sent lately at its rank. The share is
-// the greater of what the workspace usually sends and of an equal part of what all workspaces of the rank have sent.
+// the greater of what the workspace usually sends and of an equal part of what all workspaces of the rank have sent, divided
+// among those that sent something within activeWindow.
 func (t usages) excess(w value.Work, now hoist.Millis) float64 {
 	var own usage
 	var total, active float64
@@ -103,9 +106,11 @@
 		if u.rank != w.Rank() {
 			continue
 		}
+		if now-u.at <= activeWindow {
+			active++
+		}
 		u = u.decayed(now)
 		total += u.recent
-		active++
 		if u.workspace == w.Workspace() {
 			own = u
 		}
@@ -114,7 +119,7 @@
 	if own.recent == 0 || recentTime == 0 {
 		return 0
 	}
-	return (own.recent / recentTime) / max(own.usual/usualTime, total/active/recentTime)
+	return (own.recent / recentTime) / max(own.usual/usualTime, total/max(active, 1)/recentTime)
 }
 
 // promptTokens returns the length of the prompt.
