edge: Give the end of a response its own time

Cause: the write deadline ran from the last part, and net/http writes the last chunk after the handler. If a server ended a sound stream later than clients.unread_ms after its last event, that write failed and the caller saw a cut stream. Change: the end of the response moves the deadline as each part does.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -194,8 +194,11 @@
 	return c.control.Flush()
 }
 
-// End implements relay.ResponseWriter.
-func (c *responseWriter) End() { c.ended = true }
+// End implements relay.ResponseWriter. net/http sends the end of the response after it, which may be long after the last write.
+func (c *responseWriter) End() {
+	c.allow()
+	c.ended = true
+}
 
 // finish aborts the connection unless the response is complete. When a handler returns, net/http would otherwise end the
 // response as if it were: with status 200 and an empty body if it has not begun, or with the last chunk.
--- a/edge/response_test.go
+++ b/edge/response_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
+	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/relay"
 )
 
@@ -46,3 +48,25 @@
 		})
 	}
 }
+
+// TestLateEnd guards against a sound response that is cut because the server ends it later after its last part than the time for
+// which a caller may leave a part unread.
+func TestLateEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const unread = 50 * hoist.Millis(1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c := &responseWriter{writer: w, control: http.NewResponseController(w), unread: unread}
+		defer c.finish()
+		c.Start(200, nil, -1)
+		_ = c.Write([]byte("body")) // The test reads it.
+		time.Sleep((2 * unread).Duration())
+		c.End()
+	}))
+	defer s.Close()
+	resp, err := http.Get(s.URL)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(body)).To(gomega.Equal("body"))
+}
