accept: Keep a connection whose request runs when memory runs out

Cause: the charge for a header above 4 KiB stayed open to displacement while its request was served, and counted as stalled after 1 s. A full account closed the connection of a request that had run or might run. Change: the charge is complete once the handler begins. A request whose connection had to give way before is not served.

--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -200,4 +200,24 @@
 		Expect(s.listener.Long.Load()).To(BeEquivalentTo(1))
 		Eventually(func() int { return s.account.State().Holdings() }).WithTimeout(eventual).Should(BeZero())
 	})
+
+	// Guards against a connection that is closed while its request runs, because the charge for its long header counts as a body
+	// that makes no progress.
+	It("keeps a request with a long header while others need memory", func() {
+		s := serve(accept.Options{Connections: 10}, lenient)
+		header := strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 12)
+		c := s.dial("127.0.0.2", "POST / HTTP/1.1\r\nHost: a\r\n"+header+"Transfer-Encoding: chunked\r\n\r\n"+chunk(1))
+		Eventually(func() int { return s.account.State().Holdings() }).WithTimeout(eventual).Should(Equal(2))
+		Eventually(func() int64 { return s.account.State().Used() }).WithTimeout(eventual).Should(BeNumerically(">", 8<<10))
+		time.Sleep(1100 * time.Millisecond) // A holding counts as stalled after 1 s.
+		_, err := io.WriteString(c, chunk(1))
+		Expect(err).NotTo(HaveOccurred())
+		for i := range 3 { // Two of these bodies have room.
+			s.dial(fmt.Sprintf("127.0.0.%d", i+3), chunked+chunk(19<<10))
+		}
+		Eventually(s.results).WithTimeout(eventual).Should(Receive(Equal("full")))
+		_, err = io.WriteString(c, "0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.results).WithTimeout(eventual).Should(Receive(Equal("2")))
+	})
 })
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -91,6 +91,9 @@
 		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
 			x.phase.CompareAndSwap(phaseIdle, phaseServing)
 			x.phase.CompareAndSwap(phaseHeader, phaseServing)
+			if !x.completeHeader() {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -246,6 +249,13 @@
 	return err
 }
 
+// completeHeader records that the header has arrived, so that the connection does not give way while its request runs. It
+// returns false if the connection had to give way already.
+func (c *Conn) completeHeader() bool {
+	t := c.ticket.Load()
+	return t == nil || t.Complete() == nil
+}
+
 // becomeIdle records that a request has ended.
 func (c *Conn) becomeIdle() {
 	c.release()
