accept: Compare phase and time of a connection as one value

Cause: a connection entered the phase of its header before the time of the phase was stored. If the chosen connection changed at that moment, the listener also waited up to 1 s although others were idle. Change: phase and time are one atomic value, and another connection is chosen if the first one has changed.

--- a/accept/listener.go
+++ b/accept/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -31,12 +32,28 @@
 
 // Phases of a connection.
 const (
-	phaseIdle int32 = iota
+	phaseIdle int64 = iota
 	phaseHeader
 	phaseServing
 	phaseClosed
 )
 
+// phaseBits is the number of bits of a phase.
+const phaseBits = 2
+
+// state is a phase of a connection and the time at which it began. Both are one value, so that a connection whose phase has just
+// changed is not judged by the time of its last one.
+type state int64
+
+// newState returns the state of a phase that begins now.
+func newState(phase int64, now hoist.Millis) state { return state(int64(now)<<phaseBits | phase) }
+
+// phase returns the phase.
+func (s state) phase() int64 { return int64(s) & (1<<phaseBits - 1) }
+
+// since returns the time at which the phase began.
+func (s state) since() hoist.Millis { return hoist.Millis(s >> phaseBits) }
+
 // HeaderLimits bounds the header of a request; zero values set no bound.
 type HeaderLimits struct {
 	Bytes   int64
@@ -89,8 +106,7 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			x.phase.CompareAndSwap(phaseIdle, phaseServing)
-			x.phase.CompareAndSwap(phaseHeader, phaseServing)
+			x.advance(phaseServing, phaseIdle, phaseHeader)
 			if !x.completeHeader() {
 				panic(http.ErrAbortHandler)
 			}
@@ -118,7 +134,7 @@
 		}
 	}
 	x := &Conn{Conn: n, listener: l}
-	x.since.Store(int64(l.options.Clock.Now()))
+	x.state.Store(int64(newState(phaseIdle, l.options.Clock.Now())))
 	l.count.Add(1)
 	l.conns.Store(x, struct{}{})
 	return x, nil
@@ -135,25 +151,35 @@
 // evict closes the connection that has been idle longest, or whose header has been incomplete longest. It returns false if
 // there is none.
 func (l *Listener) evict() bool {
+	for {
+		x, s := l.oldest()
+		if x == nil {
+			return false
+		}
+		// A connection whose state has changed meanwhile is in use, and another one is looked for.
+		if x.closeIn(s, &l.Evicted) {
+			return true
+		}
+	}
+}
+
+// oldest returns the connection that evict closes first, and its state, or nil if there is none.
+func (l *Listener) oldest() (*Conn, state) {
 	now := l.options.Clock.Now()
 	var oldest *Conn
-	var phase int32
+	var state state
 	for k := range l.conns.Range {
 		x := k.(*Conn)
-		p, age := x.phase.Load(), now-hoist.Millis(x.since.Load())
-		if p != phaseIdle && (p != phaseHeader || age < slowHeaderTime) {
+		s := x.load()
+		p := s.phase()
+		if p != phaseIdle && (p != phaseHeader || now-s.since() < slowHeaderTime) {
 			continue
 		}
-		if oldest == nil || p < phase || p == phase && x.since.Load() < oldest.since.Load() {
-			oldest, phase = x, p
+		if oldest == nil || p < state.phase() || p == state.phase() && s < state {
+			oldest, state = x, s
 		}
 	}
-	if oldest == nil || !oldest.phase.CompareAndSwap(phase, phaseClosed) {
-		return false
-	}
-	l.Evicted.Add(1)
-	_ = oldest.Close() // The caller may have closed it.
-	return true
+	return oldest, state
 }
 
 // Sweep closes connections whose header does not end in time, until ctx ends.
@@ -169,9 +195,8 @@
 			}
 			for k := range l.conns.Range {
 				x := k.(*Conn)
-				if now-hoist.Millis(x.since.Load()) >= limit && x.phase.CompareAndSwap(phaseHeader, phaseClosed) {
-					l.Late.Add(1)
-					_ = x.Close() // The caller may have closed it.
+				if s := x.load(); s.phase() == phaseHeader && now-s.since() >= limit {
+					x.closeIn(s, &l.Late) // In another state the header is complete.
 				}
 			}
 		}
@@ -198,23 +223,48 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	phase    atomic.Int32
-	// since is the time of the last change to phaseIdle or phaseHeader.
-	since atomic.Int64
+	// state holds a value of type state.
+	state atomic.Int64
 	// header is the number of bytes of the current header; it and the ticket are used by the reading goroutine.
 	header int64
 	ticket atomic.Pointer[intake.Ticket]
 	ended  atomic.Bool
 }
 
+// load returns the state.
+func (c *Conn) load() state { return state(c.state.Load()) }
+
+// advance begins the phase now if the current one is one of those in from, and reports whether it did.
+func (c *Conn) advance(phase int64, from ...int64) bool {
+	next := newState(phase, c.listener.options.Clock.Now())
+	for {
+		s := c.load()
+		if !slices.Contains(from, s.phase()) {
+			return false
+		}
+		if c.state.CompareAndSwap(int64(s), int64(next)) {
+			return true
+		}
+	}
+}
+
+// closeIn closes and counts the connection unless its state is another one than s, and reports whether it did.
+func (c *Conn) closeIn(s state, count *atomic.Int64) bool {
+	if !c.state.CompareAndSwap(int64(s), int64(newState(phaseClosed, s.since()))) {
+		return false
+	}
+	count.Add(1)
+	_ = c.Close() // The caller may have closed it.
+	return true
+}
+
 // Read reads and charges what belongs to a header.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 || c.phase.Load() == phaseServing {
+	if n == 0 || c.load().phase() == phaseServing {
 		return n, err
 	}
-	if c.phase.CompareAndSwap(phaseIdle, phaseHeader) {
-		c.since.Store(int64(c.listener.options.Clock.Now()))
+	if c.advance(phaseHeader, phaseIdle) {
 		c.header = 0
 	}
 	c.header += int64(n)
@@ -259,9 +309,8 @@
 // becomeIdle records that a request has ended.
 func (c *Conn) becomeIdle() {
 	c.release()
-	c.since.Store(int64(c.listener.options.Clock.Now()))
 	// A request that the server answers by itself never leaves phaseHeader.
-	if c.phase.CompareAndSwap(phaseServing, phaseIdle) || c.phase.CompareAndSwap(phaseHeader, phaseIdle) {
+	if c.advance(phaseIdle, phaseServing, phaseHeader) {
 		c.listener.signal()
 	}
 }
--- /dev/null
+++ b/accept/race_test.go
@@ -0,0 +1,72 @@
+package accept_test
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/accept"
+)
+
+// hookClock is a clock that the test sets. Its hook runs once, at the next reading of the time.
+type hookClock struct {
+	now   atomic.Int64
+	hook  atomic.Pointer[func()]
+	ticks chan hoist.Millis
+}
+
+// Now implements hoist.Clock.
+func (c *hookClock) Now() hoist.Millis {
+	if f := c.hook.Swap(nil); f != nil {
+		(*f)()
+	}
+	return hoist.Millis(c.now.Load())
+}
+
+// After implements hoist.Clock.
+func (c *hookClock) After(hoist.Millis) <-chan hoist.Millis { return c.ticks }
+
+// open listens on a loopback address until the end of the test.
+func open() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = l.Close() })
+	return l
+}
+
+// connect opens a connection until the end of the test.
+func connect(l net.Listener) net.Conn {
+	c, err := net.Dial("tcp", l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() })
+	return c
+}
+
+var _ = Describe("a connection that changes its phase", func() {
+	// Guards against a connection that is closed as late when the first byte of a request arrives after a long idle time.
+	It("is not judged by the time of its last phase", func() {
+		clock := &hookClock{ticks: make(chan hoist.Millis)}
+		l := accept.Listen(open(), accept.Options{
+			Clock: clock, Connections: 1, Header: func() accept.HeaderLimits { return accept.HeaderLimits{Timeout: 6000} },
+		})
+		go l.Sweep(GinkgoT().Context())
+		caller := connect(l)
+		c, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		clock.now.Store(12000)
+		_, err = io.WriteString(caller, "G")
+		Expect(err).NotTo(HaveOccurred())
+		sweep := func() {
+			clock.ticks <- 12000
+			clock.ticks <- 12000 // Is received after the first sweep.
+		}
+		clock.hook.Store(&sweep)
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Late.Load()).To(BeZero())
+	})
+})
