accept: Serve no request on a connection that was closed

Cause: a connection may be closed for a new one, or for a late header, when the bytes of a request have been read from it. The handler ran nevertheless, so a request could be sent to a server although its caller saw only a closed connection. Change: the handler ends at once if the connection was closed.

--- a/accept/listener.go
+++ b/accept/listener.go
@@ -106,8 +106,8 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			x.advance(phaseServing, phaseIdle, phaseHeader)
-			if !x.completeHeader() {
+			// The connection is closed already if its header was late or it was closed for a new one.
+			if !x.advance(phaseServing, phaseIdle, phaseHeader) || !x.completeHeader() {
 				panic(http.ErrAbortHandler)
 			}
 		}
--- a/accept/race_test.go
+++ b/accept/race_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -30,6 +32,34 @@
 // After implements hoist.Clock.
 func (c *hookClock) After(hoist.Millis) <-chan hoist.Millis { return c.ticks }
 
+// gatedListener hands what its connections have read to the server only once the gate is closed.
+type gatedListener struct {
+	net.Listener
+	read, gate chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return gatedConn{c, l}, err
+}
+
+// gatedConn is a connection of a gatedListener.
+type gatedConn struct {
+	net.Conn
+	listener gatedListener
+}
+
+// Read implements net.Conn.
+func (c gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.listener.read <- struct{}{}
+		<-c.listener.gate
+	}
+	return n, err
+}
+
 // open listens on a loopback address until the end of the test.
 func open() net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -69,4 +99,23 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.Late.Load()).To(BeZero())
 	})
+
+	// Guards against a request that runs although its caller can get no response, because its connection was closed for a new
+	// one at the moment at which it arrived.
+	It("serves no request once it is closed", func() {
+		gated := gatedListener{open(), make(chan struct{}, 10), make(chan struct{})}
+		l := accept.Listen(gated, accept.Options{Clock: hoist.NewBootClock(), Connections: 1})
+		served := make(chan struct{}, 10)
+		h := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- struct{}{} })}
+		accept.Attach(h)
+		go func() { _ = h.Serve(l) }()
+		DeferCleanup(h.Close)
+		_, err := io.WriteString(connect(l), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(gated.read).WithTimeout(eventual).Should(Receive())
+		connect(l)
+		Eventually(l.Evicted.Load).WithTimeout(eventual).Should(BeEquivalentTo(1))
+		close(gated.gate)
+		Consistently(served).WithTimeout(200 * time.Millisecond).ShouldNot(Receive())
+	})
 })
