accept: Keep an idle connection on which a request has arrived

Cause: the connection that has been idle longest was closed for a new one also if bytes of a request had arrived that the server had not read yet, which is common for callers that reuse connections after seconds while the processor is busy. Change: such a connection is passed over; only the one that would be chosen is asked for its input.

--- a/accept/listener.go
+++ b/accept/listener.go
@@ -8,8 +8,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/intake"
@@ -148,8 +150,8 @@
 	return l.Listener.Close()
 }
 
-// evict closes the connection that has been idle longest, or whose header has been incomplete longest. It returns false if
-// there is none.
+// evict closes the connection that has been idle longest and has no unread input, or whose header has been incomplete longest. It
+// returns false if there is none.
 func (l *Listener) evict() bool {
 	for {
 		x, s := l.oldest()
@@ -175,7 +177,8 @@
 		if p != phaseIdle && (p != phaseHeader || now-s.since() < slowHeaderTime) {
 			continue
 		}
-		if oldest == nil || p < state.phase() || p == state.phase() && s < state {
+		before := oldest == nil || p < state.phase() || p == state.phase() && s < state
+		if before && (p != phaseIdle || !x.hasInput()) {
 			oldest, state = x, s
 		}
 	}
@@ -258,6 +261,24 @@
 	return true
 }
 
+// hasInput reports whether bytes of a request have arrived that the server has not read yet.
+func (c *Conn) hasInput() bool {
+	x, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := x.SyscallConn()
+	if err != nil {
+		return false // The connection is closed.
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) // Without input, n is not above zero.
+	})
+	return err == nil && n > 0
+}
+
 // Read reads and charges what belongs to a header.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/accept/race_test.go
+++ b/accept/race_test.go
@@ -118,4 +118,27 @@
 		close(gated.gate)
 		Consistently(served).WithTimeout(200 * time.Millisecond).ShouldNot(Receive())
 	})
+
+	// Guards against a connection that is closed as the one that has been idle longest although a request has just arrived on it,
+	// which a busy process has not read yet.
+	It("is not closed for a new one with unread input", func() {
+		clock := &hookClock{}
+		l := accept.Listen(open(), accept.Options{Clock: clock, Connections: 2})
+		var callers, conns []net.Conn
+		for range 2 {
+			callers = append(callers, connect(l))
+			c, err := l.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			conns = append(conns, c)
+			clock.now.Add(1000)
+		}
+		_, err := io.WriteString(callers[0], "G")
+		Expect(err).NotTo(HaveOccurred())
+		connect(l)
+		_, err = l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(closed(callers[1])).To(BeTrue())
+		_, err = conns[0].Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+	})
 })
