edge: Apply the time for unread data to parts of 16 KiB

Cause: one write deadline covered a complete answer or event of up to 256 KiB, so a caller that reads steadily over a slow link, below 26 kB/s with the defaults, lost its connection. Change: each part of 16 KiB has its own deadline. A caller that reads nothing still loses its connection after the same time.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,9 @@
 	defaultBodyBytes = 4 << 20
 	// notReadyRetryAfter is the delay after which a caller of an instance that is not ready should try again.
 	notReadyRetryAfter = 500 * hoist.Millis(1)
+	// partBytes is the size of the parts of a response that the caller has to read in time; a slow link carries it within the
+	// default of clients.unread_ms.
+	partBytes = 16 << 10
 	// drainExitMargin is the time before the kill by which accepted requests must have ended.
 	drainExitMargin = 500 * hoist.Millis(1)
 )
@@ -187,9 +191,11 @@
 	if len(b) == 0 {
 		return nil
 	}
-	c.allow()
-	if _, err := c.writer.Write(b); err != nil {
-		return err
+	for part := range slices.Chunk(b, partBytes) {
+		c.allow()
+		if _, err := c.writer.Write(part); err != nil {
+			return err
+		}
 	}
 	return c.control.Flush()
 }
--- a/edge/response_test.go
+++ b/edge/response_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/relay"
@@ -70,3 +73,40 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(body)).To(gomega.Equal("body"))
 }
+
+// TestSlowReader guards against a sound response that is cut because a long part of it, which the caller reads steadily, takes
+// longer than the time for which a caller may leave a part unread.
+func TestSlowReader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const unread, length = 400 * hoist.Millis(1), 256 << 10
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c := &responseWriter{writer: w, control: http.NewResponseController(w), unread: unread}
+		defer c.finish()
+		c.Start(200, nil, length)
+		_ = c.Write(make([]byte, length)) // The test reads it.
+		c.End()
+	}))
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			_ = c.(*net.TCPConn).SetWriteBuffer(4 << 10) // With a larger buffer, the write would not wait for the reader.
+		}
+	}
+	s.Start()
+	defer s.Close()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+	}}
+	client := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}}
+	resp, err := client.Get(s.URL)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	read, b := 0, make([]byte, 4<<10)
+	for err == nil {
+		var n int
+		n, err = resp.Body.Read(b)
+		read += n
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(err).To(gomega.MatchError(io.EOF))
+	g.Expect(read).To(gomega.Equal(length))
+}
