--- a/accept/listener.go
+++ b/accept/listener.go
@@ -5,10 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/intake"
@@ -31,12 +34,28 @@
 
 // Phases of a connection.
 const (
-	phaseIdle int32 = iota
+	phaseIdle int64 = iota
 	phaseHeader
 	phaseServing
 	phaseClosed
 )
 
+// phaseBits is the number of bits of a phase.
+const phaseBits = 2
+
+// state is a phase of a connection and the time at which it began. Both are one value, so that a connection whose phase has just
+// changed is not judged by the time of its last one.
+type state int64
+
+// newState returns the state of a phase that begins now.
+func newState(phase int64, now hoist.Millis) state { return state(int64(now)<<phaseBits | phase) }
+
+// phase returns the phase.
+func (s state) phase() int64 { return int64(s) & (1<<phaseBits - 1) }
+
+// since returns the time at which the phase began.
+func (s state) since() hoist.Millis { return hoist.Millis(s >> phaseBits) }
+
 // HeaderLimits bounds the header of a request; zero values set no bound.
 type HeaderLimits struct {
 	Bytes   int64
@@ -89,8 +108,10 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			x.phase.CompareAndSwap(phaseIdle, phaseServing)
-			x.phase.CompareAndSwap(phaseHeader, phaseServing)
+			// The connection is closed already if its header was late or it was closed for a new one.
+			if !x.advance(phaseServing, phaseIdle, phaseHeader) || !x.completeHeader() {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -115,7 +136,7 @@
 		}
 	}
 	x := &Conn{Conn: n, listener: l}
-	x.since.Store(int64(l.options.Clock.Now()))
+	x.state.Store(int64(newState(phaseIdle, l.options.Clock.Now())))
 	l.count.Add(1)
 	l.conns.Store(x, struct{}{})
 	return x, nil
@@ -129,28 +150,39 @@
 	return l.Listener.Close()
 }
 
-// evict closes the connection that has been idle longest, or whose header has been incomplete longest. It returns false if
-// there is none.
+// evict closes the connection that has been idle longest and has no unread input, or whose header has been incomplete longest. It
+// returns false if there is none.
 func (l *Listener) evict() bool {
+	for {
+		x, s := l.oldest()
+		if x == nil {
+			return false
+		}
+		// A connection whose state has changed meanwhile is in use, and another one is looked for.
+		if x.closeIn(s, &l.Evicted) {
+			return true
+		}
+	}
+}
+
+// oldest returns the connection that evict closes first, and its state, or nil if there is none.
+func (l *Listener) oldest() (*Conn, state) {
 	now := l.options.Clock.Now()
 	var oldest *Conn
-	var phase int32
+	var state state
 	for k := range l.conns.Range {
 		x := k.(*Conn)
-		p, age := x.phase.Load(), now-hoist.Millis(x.since.Load())
-		if p != phaseIdle && (p != phaseHeader || age < slowHeaderTime) {
+		s := x.load()
+		p := s.phase()
+		if p != phaseIdle && (p != phaseHeader || now-s.since() < slowHeaderTime) {
 			continue
 		}
-		if oldest == nil || p < phase || p == phase && x.since.Load() < oldest.since.Load() {
-			oldest, phase = x, p
+		before := oldest == nil || p < state.phase() || p == state.phase() && s < state
+		if before && (p != phaseIdle || !x.hasInput()) {
+			oldest, state = x, s
 		}
 	}
-	if oldest == nil || !oldest.phase.CompareAndSwap(phase, phaseClosed) {
-		return false
-	}
-	l.Evicted.Add(1)
-	_ = oldest.Close() // The caller may have closed it.
-	return true
+	return oldest, state
 }
 
 // Sweep closes connections whose header does not end in time, until ctx ends.
@@ -166,9 +198,8 @@
 			}
 			for k := range l.conns.Range {
 				x := k.(*Conn)
-				if now-hoist.Millis(x.since.Load()) >= limit && x.phase.CompareAndSwap(phaseHeader, phaseClosed) {
-					l.Late.Add(1)
-					_ = x.Close() // The caller may have closed it.
+				if s := x.load(); s.phase() == phaseHeader && now-s.since() >= limit {
+					x.closeIn(s, &l.Late) // In another state the header is complete.
 				}
 			}
 		}
@@ -195,23 +226,66 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	phase    atomic.Int32
-	// since is the time of the last change to phaseIdle or phaseHeader.
-	since atomic.Int64
+	// state holds a value of type state.
+	state atomic.Int64
 	// header is the number of bytes of the current header; it and the ticket are used by the reading goroutine.
 	header int64
 	ticket atomic.Pointer[intake.Ticket]
 	ended  atomic.Bool
 }
 
+// load returns the state.
+func (c *Conn) load() state { return state(c.state.Load()) }
+
+// advance begins the phase now if the current one is one of those in from, and reports whether it did.
+func (c *Conn) advance(phase int64, from ...int64) bool {
+	next := newState(phase, c.listener.options.Clock.Now())
+	for {
+		s := c.load()
+		if !slices.Contains(from, s.phase()) {
+			return false
+		}
+		if c.state.CompareAndSwap(int64(s), int64(next)) {
+			return true
+		}
+	}
+}
+
+// closeIn closes and counts the connection unless its state is another one than s, and reports whether it did.
+func (c *Conn) closeIn(s state, count *atomic.Int64) bool {
+	if !c.state.CompareAndSwap(int64(s), int64(newState(phaseClosed, s.since()))) {
+		return false
+	}
+	count.Add(1)
+	_ = c.Close() // The caller may have closed it.
+	return true
+}
+
+// hasInput reports whether bytes of a request have arrived that the server has not read yet.
+func (c *Conn) hasInput() bool {
+	x, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := x.SyscallConn()
+	if err != nil {
+		return false // The connection is closed.
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) // Without input, n is not above zero.
+	})
+	return err == nil && n > 0
+}
+
 // Read reads and charges what belongs to a header.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 || c.phase.Load() == phaseServing {
+	if n == 0 || c.load().phase() == phaseServing {
 		return n, err
 	}
-	if c.phase.CompareAndSwap(phaseIdle, phaseHeader) {
-		c.since.Store(int64(c.listener.options.Clock.Now()))
+	if c.advance(phaseHeader, phaseIdle) {
 		c.header = 0
 	}
 	c.header += int64(n)
@@ -246,12 +320,18 @@
 	return err
 }
 
+// completeHeader records that the header has arrived, so that the connection does not give way while its request runs. It
+// returns false if the connection had to give way already.
+func (c *Conn) completeHeader() bool {
+	t := c.ticket.Load()
+	return t == nil || t.Complete() == nil
+}
+
 // becomeIdle records that a request has ended.
 func (c *Conn) becomeIdle() {
 	c.release()
-	c.since.Store(int64(c.listener.options.Clock.Now()))
 	// A request that the server answers by itself never leaves phaseHeader.
-	if c.phase.CompareAndSwap(phaseServing, phaseIdle) || c.phase.CompareAndSwap(phaseHeader, phaseIdle) {
+	if c.advance(phaseIdle, phaseServing, phaseHeader) {
 		c.listener.signal()
 	}
 }
