--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -82,7 +82,7 @@
 	s, _ := d.state.Load().Server("s1")
 	j := &job{Relay: r, dispatcher: d}
 	response := func(status int, cold string) *http1.Response {
-		return &http1.Response{Status: status, Header: http.Header{"Chicoryhoist-Cold-Ms": {cold}}}
+		return &http1.Response{Status: status, Header: http.Header{r.Dialect.Cold(): {cold}}}
 	}
 	j.readNotices(s, response(http.StatusMisdirectedRequest, "4000"))
 	j.readNotices(s, response(http.StatusOK, "none"))
--- a/relay/exclusion_test.go
+++ b/relay/exclusion_test.go
@@ -96,8 +96,9 @@
 // startServer starts a backend server that answers with its ID, and returns its record in the data centre.
 func startServer(t *testing.T, id, datacentre string) value.FeedRecord {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Chicoryhoist-Request-Id", r.Header.Get("Chicoryhoist-Request-Id"))
-		w.Header().Set("Chicoryhoist-Response-Seal", id)
+		d := platform.Dialect()
+		w.Header().Set(d.RequestId(), r.Header.Get(d.RequestId()))
+		w.Header().Set(d.Seal(), id)
 		_, _ = io.WriteString(w, id)
 	}))
 	t.Cleanup(s.Close)
@@ -172,7 +173,7 @@
 func requestAt(now hoist.Millis) Request {
 	return Request{
 		ID: "1", Method: http.MethodGet, Target: "/", Path: "/", Host: "a", Arrived: now, Timeout: 5 * hoist.Second,
-		Header: http.Header{"Chicoryhoist-Request-Id": {"1"}},
+		Header: http.Header{platform.Dialect().RequestId(): {"1"}},
 	}
 }
 
