--- a/feed/lapse.go
+++ b/feed/lapse.go
@@ -9,8 +9,10 @@
 	// running server writes its entry again within two seconds.
 	lapseGraceTime = 2 * hoist.Second
 	// minLapseOutage is the shortest outage of the store in which the entry of a running server may lapse. A running server
-	// writes its entry about every 1,200 ms, so in a shorter outage it misses at most one write.
-	minLapseOutage = 1200 * hoist.Millis(1)
+	// writes its entry about every 1,200 ms, and the entry lapses after three such intervals without a write. The last write
+	// was up to one interval before the outage, which leaves 2,400 ms; an outage is noticed up to 400 ms late. A shorter bound
+	// took a watch on a connection that had gone silent, 1,560 ms in all, for an outage.
+	minLapseOutage = 2 * hoist.Second
 	// maxAgeWithoutOutage is the age of the content at a recovery from which the store was away for that long: content of another
 	// instance that has not noticed the outage interrupts a series of failures, but does not confirm anything newer. Below it,
 	// the age follows from one watch that ended, one that was cut, and the intervals between instances.
