--- a/assign/load.go
+++ b/assign/load.go
@@ -22,3 +22,7 @@
 
 // ReadingMs returns the time in which an engine computes prompt tokens, in milliseconds.
 func ReadingMs(tokens int32) float64 { return float64(max(tokens, 0)) / prefillTokensPerMs }
+
+// RereadingMs returns the cost of computing prompt tokens that another server has cached, in milliseconds, as the choice of a
+// server weighs it.
+func RereadingMs(tokens int32) float64 { return recomputeWeight * ReadingMs(tokens) }
--- a/relay/balance.go
+++ b/relay/balance.go
@@ -37,7 +37,7 @@
 		return j.dispatcher
 	}
 	now, first := j.Clock.Now(), j.dispatcher == nil
-	q := spread.Request{Key: shardKey(j.request), RereadMs: assign.ReadingMs(sharedTokens(j.request)), Draw: 1}
+	q := spread.Request{Key: shardKey(j.request), RereadMs: assign.RereadingMs(sharedTokens(j.request)), Draw: 1}
 	if first {
 		q.Draw = rand.Float64()
 	}
