--- a/spread/choose.go
+++ b/spread/choose.go
@@ -16,7 +16,7 @@
 type Request struct {
 	// Key is a hash of the prompt part whose servers should run the request.
 	Key uint64
-	// RereadMs is the time in which a server reads the shared prompt parts of the request.
+	// RereadMs is the cost of reading the shared prompt parts of the request again at a server of another shard.
 	RereadMs float64
 	// Draw is a random number from 0 to 1, exclusive.
 	Draw float64
