--- a/review/lab2/caller.go
+++ b/review/lab2/caller.go
@@ -11,9 +11,9 @@
 
 // Call is one request of an ordinary client.
 type Call struct {
-	Address, Method, Host, Path, ID, Prefix string
-	BodyBytes                               int
-	Deadline                                time.Duration
+	Address, Method, Path, ID, Prefix string
+	BodyBytes                         int
+	Deadline                          time.Duration
 }
 
 // Result is what the client has seen.
@@ -68,6 +68,10 @@
 				"name": "r-triage", "host": Host, "prefix": "/triage/", "route_type": "streaming", "timeout_ms": 3000, "target_latency_ms": 400,
 				"priority": 1, "service": "llm", "max_attempts": 2, "anonymous": false, "sticky": true, "resumable": true, "inter_token_ms": 300,
 			},
+			map[string]any{
+				"name": "r-guide", "host": Host, "prefix": "/guide/", "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 250,
+				"priority": 0, "service": "llm", "max_attempts": 1, "anonymous": false, "sticky": true, "resumable": false, "inter_token_ms": 200,
+			},
 			map[string]any{
 				"name": "r-read", "host": Host, "prefix": "/read/", "route_type": "idempotent", "timeout_ms": 1000, "target_latency_ms": 150,
 				"priority": 2, "service": "app", "max_attempts": 2, "anonymous": false,
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strconv"
@@ -50,6 +51,9 @@
 	l.network = [2]int{1 + rand.IntN(250), 1 + rand.IntN(250)}
 	l.port = 20000 + 10*rand.IntN(1000)
 	l.Log("trouble %v", l.Trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { l.Abort("signal %v", <-signals) }()
 	return l
 }
 
--- a/review/lab2/parts/main.go
+++ b/review/lab2/parts/main.go
@@ -73,7 +73,7 @@
 			time.Sleep(time.Second / ordinaryRate)
 			g.Go(func() {
 				id := fmt.Sprintf("ordinary-%d", k)
-				x := lab2.Send(lab2.Call{Address: rs[k%routers].Front, Method: "POST", Host: lab2.Host, Path: "/triage/x", ID: id, BodyBytes: 4700, Deadline: 3 * time.Second,
+				x := lab2.Send(lab2.Call{Address: rs[k%routers].Front, Method: "POST", Path: "/triage/x", ID: id, BodyBytes: 4700, Deadline: 3 * time.Second,
 					Prefix: fmt.Sprintf("5c1e%04x:341,91bd%04x:227,e440%04x:250", k%8, k%393, k)})
 				if x.Status == 200 && x.Err == nil {
 					answered.Add(1)
@@ -96,7 +96,7 @@
 	for i := range 8 {
 		time.Sleep(again)
 		r := rs[i%routers]
-		x := lab2.Send(lab2.Call{Address: r.Front, Method: "POST", Host: lab2.Host, Path: "/triage/deadly", ID: fmt.Sprintf("deadly-%d", i), BodyBytes: 4700, Deadline: 3 * time.Second, Prefix: prefix})
+		x := lab2.Send(lab2.Call{Address: r.Front, Method: "POST", Path: "/triage/deadly", ID: fmt.Sprintf("deadly-%d", i), BodyBytes: 4700, Deadline: 3 * time.Second, Prefix: prefix})
 		l.Log("deadly request %d at %s: status %d, error %v after %d ms", i, r.Name, x.Status, x.Err, x.Took.Milliseconds())
 		for _, r := range rs {
 			l.Log("%s: memory %d kB, peak %d kB", r.Name, r.Status("VmRSS"), r.Status("VmHWM"))
--- a/review/lab2/seats/main.go
+++ b/review/lab2/seats/main.go
@@ -48,7 +48,7 @@
 			for k := 0; ctx.Err() == nil; k++ {
 				id := fmt.Sprintf("ordinary-%d-%d", i, k)
 				tries[i].Store(time.Now().UnixMilli())
-				x := lab2.Send(lab2.Call{Address: r.Front, Method: "GET", Host: lab2.Host, Path: "/read/x", ID: id, Deadline: time.Second})
+				x := lab2.Send(lab2.Call{Address: r.Front, Method: "GET", Path: "/read/x", ID: id, Deadline: time.Second})
 				switch {
 				case x.Status == 200 && x.Err == nil && x.Body == lab2.Body(id):
 					answered.Add(1)
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -23,6 +23,8 @@
 	Events int
 	// Deadly reports whether a request crashes the server that begins to run it.
 	Deadly func(r *http.Request) bool
+	// DeadlyAfter is the time for which the server reads the prompt of a deadly request before it begins its answer and crashes.
+	DeadlyAfter time.Duration
 	// Ran is called when the server begins to run a request, and Crashed when one has crashed it.
 	Ran, Crashed func(s *Server, r *http.Request)
 
@@ -117,6 +119,7 @@
 			s.Ran(s, r)
 		}
 		if s.Deadly != nil && s.Deadly(r) {
+			time.Sleep(s.DeadlyAfter)
 			s.Crashed(s, r)
 			s.crash()
 			return
