--- a/review/lab2/versions/main.go
+++ b/review/lab2/versions/main.go
@@ -26,10 +26,10 @@
 	// A storm has a change each stormGap for stormTime, as on seamwright-hq; stormPause lies between two of them.
 	stormGap   = 330 * time.Millisecond
 	stormTime  = 4 * time.Second
-	stormPause = 500 * time.Millisecond
+	stormPause = 3 * time.Second
 	// quietTime is the time without changes before the storms, stormsTime that of the storms.
 	quietTime  = 10 * time.Second
-	stormsTime = 75 * time.Second
+	stormsTime = 88 * time.Second
 	routers    = 2
 	// rate is the number of ordinary streams a second at each router; each lasts about 1.5 s.
 	rate = 10
