--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -28,6 +28,8 @@
 	Dir     string
 	Trouble bool
 	Broken  bool
+	// OnEnd is called before the program exits.
+	OnEnd   func()
 	start   time.Time
 	mu      sync.Mutex
 	record  *os.File
@@ -84,6 +86,9 @@
 	for _, r := range l.routers {
 		r.Kill()
 	}
+	if l.OnEnd != nil {
+		l.OnEnd()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(l.Dir)
 	} else {
@@ -103,6 +108,9 @@
 	for _, r := range l.routers {
 		r.Kill()
 	}
+	if l.OnEnd != nil {
+		l.OnEnd()
+	}
 	_ = os.RemoveAll(l.Dir)
 	l.Log("could not run: "+format, a...)
 	fmt.Fprintf(os.Stderr, "could not run: "+format+"\n", a...)
@@ -376,3 +384,11 @@
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// FreeAddress returns a loopback address on which nothing listens.
+func FreeAddress() string {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	Must(err)
+	defer func() { _ = n.Close() }()
+	return n.Addr().String()
+}
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -25,6 +25,8 @@
 	Deadly func(r *http.Request) bool
 	// DeadlyAfter is the time for which the server reads the prompt of a deadly request before it begins its answer and crashes.
 	DeadlyAfter time.Duration
+	// Silent makes a crash silent: the server neither answers nor closes anything until it is back.
+	Silent bool
 	// Ran is called when the server begins to run a request, and Crashed when one has crashed it.
 	Ran, Crashed func(s *Server, r *http.Request)
 
@@ -34,6 +36,8 @@
 	address string
 	l       net.Listener
 	conns   map[net.Conn]bool
+	// down is closed when a silent server is back; nil means that it runs.
+	down chan struct{}
 }
 
 // backAfter is the time after which a crashed server is back; the pages say some seconds.
@@ -80,16 +84,45 @@
 func (s *Server) crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.l == nil {
+	if s.l == nil || s.down != nil {
 		return
 	}
+	if s.Silent {
+		s.down = make(chan struct{})
+		time.AfterFunc(backAfter, func() {
+			s.mu.Lock()
+			close(s.down)
+			s.down = nil
+			s.end()
+			s.mu.Unlock()
+			s.start()
+		})
+		return
+	}
+	s.end()
+	time.AfterFunc(backAfter, s.start)
+}
+
+// end resets all connections and refuses new ones.
+func (s *Server) end() {
 	_ = s.l.Close()
 	s.l = nil
 	for c := range s.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
 	}
-	time.AfterFunc(backAfter, s.start)
+}
+
+// hold blocks while the server is silent, and reports whether it was.
+func (s *Server) hold() bool {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down == nil {
+		return false
+	}
+	<-down
+	return true
 }
 
 func (s *Server) serve(c net.Conn) {
@@ -102,7 +135,7 @@
 	b := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(b)
-		if err != nil {
+		if err != nil || s.hold() {
 			return
 		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -122,6 +155,7 @@
 			time.Sleep(s.DeadlyAfter)
 			s.Crashed(s, r)
 			s.crash()
+			s.hold()
 			return
 		}
 		if !s.answer(c, id) {
@@ -135,6 +169,9 @@
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nChicoryhoist-Request-Id: %s\r\nChicoryhoist-Response-Seal: seal-of-%s\r\nChicoryhoist-Server-Load: 1,0,%d\r\n", id, s.ID, s.Slots)
 	if s.Events == 0 {
 		time.Sleep(s.Work)
+		if s.hold() {
+			return false
+		}
 		body := Body(id)
 		_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 		return err == nil
@@ -143,6 +180,9 @@
 		return false
 	}
 	for n := range s.Events {
+		if s.hold() {
+			return false
+		}
 		e := Event(id, n+1)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
 			return false
