review: Format the programs of the cases as make lint asks

Cause: make lint checks the format of files with the tag review too. Change: two calls are broken over lines. Result: make lint says nothing about these files.

--- a/review/lab2/caller.go
+++ b/review/lab2/caller.go
@@ -82,8 +82,10 @@
 			},
 		},
 		"services": []any{
-			map[string]any{"name": "llm", "health_path": "/health", "max_connections": 610, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 128, "kv_capacity_tokens": 415706}},
+			map[string]any{
+				"name": "llm", "health_path": "/health", "max_connections": 610, "protocol": "h1", "tls": false,
+				"engine": map[string]any{"slots": 128, "kv_capacity_tokens": 415706},
+			},
 			map[string]any{"name": "app", "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/review/lab2/parts/main.go
+++ b/review/lab2/parts/main.go
@@ -73,8 +73,10 @@
 			time.Sleep(time.Second / ordinaryRate)
 			g.Go(func() {
 				id := fmt.Sprintf("ordinary-%d", k)
-				x := lab2.Send(lab2.Call{Address: rs[k%routers].Front, Method: "POST", Path: "/triage/x", ID: id, BodyBytes: 4700, Deadline: 3 * time.Second,
-					Prefix: fmt.Sprintf("5c1e%04x:341,91bd%04x:227,e440%04x:250", k%8, k%393, k)})
+				x := lab2.Send(lab2.Call{
+					Address: rs[k%routers].Front, Method: "POST", Path: "/triage/x", ID: id, BodyBytes: 4700, Deadline: 3 * time.Second,
+					Prefix: fmt.Sprintf("5c1e%04x:341,91bd%04x:227,e440%04x:250", k%8, k%393, k),
+				})
 				if x.Status == 200 && x.Err == nil {
 					answered.Add(1)
 				} else {
