End a response without a length only once its server accepts a connection

Change: http1.Response reports the end of such a body once the server has accepted another connection; otherwise the response counts as broken off, and the crash is looked for as after any broken response. The check in the background is gone.

--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -125,6 +125,29 @@
 		}
 	})
 
+	// Guards against a response without a length that ends as complete because its server has crashed in the middle of it.
+	DescribeTable("never ends a response as complete that ends with a crash of its server", func(method, host, path string, events int, whole func(id string) string) {
+		for _, id := range []string{"llm-1", "app-1"} {
+			deadly := func(r *http.Request) bool { return r.Header.Get("Last-Event-Id") == "" }
+			f.servers[id].Behave(origin.Behaviour{
+				Unframed: true, Crash: origin.Crash{Deadly: deadly, AfterHeader: true, AfterEvents: events, Stop: f.hosts[id].Crash},
+			})
+		}
+		for i := range 6 {
+			id := fmt.Sprint("u", i)
+			if r := f.send(method, host, path, id, "k1"); !r.interrupted && r.status == http.StatusOK {
+				Expect(r.body).To(Equal(whole(id)))
+			}
+			Eventually(running).WithTimeout(5 * time.Second).Should(BeTrue())
+		}
+		Expect(crashes()).To(BeNumerically(">", 0))
+	},
+		Entry("a stream", http.MethodPost, "b.example", "/stream/x", 4, fullStream),
+		Entry("a stream that may be resumed", http.MethodPost, "a.example", "/stream/x", 4, fullStream),
+		Entry("a body that may be requested again", http.MethodGet, "a.example", "/read/x", 0, origin.ResponseBody),
+		Entry("a body that must not be requested again", http.MethodGet, "a.example", "/once/x", 0, origin.ResponseBody),
+	)
+
 	// Guards against sound requests that are refused because a part behind the deadly one, which they share, is quarantined
 	// in its place.
 	DescribeTable("serves sound requests that share the part behind the deadly one", func(before int) {
--- a/http1/client.go
+++ b/http1/client.go
@@ -216,7 +216,7 @@
 	}
 	x.pool = l
 	x.carry(r.ID)
-	resp := &Response{conn: x, client: c, writeDone: make(chan struct{})}
+	resp := &Response{conn: x, client: c, writeDone: make(chan struct{}), confirmEnd: func() error { return c.confirmEnd(ctx, address) }}
 	resp.stopAbort = context.AfterFunc(ctx, x.abort)
 	if !x.beginExchange() {
 		resp.Discard()
@@ -249,14 +249,28 @@
 // Refused reports whether the address refuses connections. If a connection can be opened, it is pooled for the next
 // request.
 func (c *Client) Refused(ctx context.Context, address string) bool {
+	return errors.Is(c.probe(ctx, address), unix.ECONNREFUSED)
+}
+
+// probe opens a connection to the address and pools it for the next request.
+func (c *Client) probe(ctx context.Context, address string) error {
 	x, err := c.open(ctx, address)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return err
 	}
 	x.pool = c.poolFor(address)
 	x.reusableUntil = c.clock.Now() + c.limits.Idle*idleReuseTenths/10
 	x.pool.put(x)
-	return false
+	return nil
+}
+
+// confirmEnd returns an error unless the server at the address accepts a connection. The kernel closes the connections of a
+// process that was killed in the same way as a process that has sent its whole response.
+func (c *Client) confirmEnd(ctx context.Context, address string) error {
+	if err := c.probe(ctx, address); err != nil {
+		return errors.Join(errUnconfirmed, err)
+	}
+	return nil
 }
 
 // buffers is a pool of buffers for encoded requests.
--- a/http1/response.go
+++ b/http1/response.go
@@ -18,6 +18,8 @@
 	errMismatched = errors.New("too many responses of other requests")
 	errNoID       = errors.New("response does not name its request exactly once")
 	errBodySize   = errors.New("response body without a length is too long")
+	// errUnconfirmed means that a body ended with its connection, and perhaps with its server.
+	errUnconfirmed = errors.New("server does not accept connections at the end of a response without a length")
 )
 
 const (
@@ -40,11 +42,13 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
-	// Unframed is set if the body has neither a length nor chunks, so that it ends with its connection. If the server crashes
-	// in the middle of it, the body looks complete.
-	Unframed bool
 
-	body io.ReadCloser
+	// unframed is set if the body has neither a length nor chunks, so that it ends with its connection. If the server crashes
+	// in the middle of it, the body looks complete.
+	unframed bool
+	// confirmEnd returns an error unless the server still accepts connections.
+	confirmEnd func() error
+	body       io.ReadCloser
 	// bytes is the number of bytes of the body that were read.
 	bytes     int64
 	conn      *conn
@@ -109,7 +113,7 @@
 		if named {
 			r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
 			r.body, r.closeConn = resp.Body, resp.Close
-			r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+			r.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 			return nil
 		}
 		r.client.Mismatched.Add(1)
@@ -135,9 +139,15 @@
 	}
 }
 
-// Read reads the body; it returns io.EOF only at the end of a complete body.
+// Read reads the body; it returns io.EOF only at the end of a complete body. The end of a body that ends with its connection
+// counts once the server has accepted another connection.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	if r.unframed && errors.Is(err, io.EOF) {
+		if e := r.confirmEnd(); e != nil {
+			return n, e
+		}
+	}
 	if r.bytes += int64(n); r.Length < 0 && r.bytes > r.client.limits.UnframedBytes {
 		return n, errBodySize
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -45,7 +45,7 @@
 
 // attempt sends the request to the server and forwards the response to the caller.
 func (j *job) attempt(ctx context.Context, id uint64, s value.BackendServer) Outcome {
-	j.began, j.unframed = false, false
+	j.began = false
 	o, err := j.exchange(ctx, id, s)
 	j.reportAttempt(id, s, o, err)
 	if suggestsCrash(o) {
@@ -64,7 +64,6 @@
 		return j.failureOutcome(ctx, err), err
 	}
 	j.readNotices(s, resp)
-	j.unframed = resp.Unframed
 	o, err := j.handleResponse(ctx, id, resp)
 	if wasReadCompletely(o) && err == nil {
 		resp.Release()
@@ -156,11 +155,7 @@
 	case ResponseLost, ServerError, Interrupted:
 		result = assign.ResultError
 	}
-	if result == assign.ResultOK && j.unframed {
-		j.confirmCompletion(id, s)
-	} else {
-		j.dispatcher.finished(id, result)
-	}
+	j.dispatcher.finished(id, result)
 	if result == assign.ResultOK || result == assign.ResultCancelled {
 		return
 	}
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryhoist.example/hoist"
-	"chicoryhoist.example/hoist/assign"
 	"chicoryhoist.example/hoist/event"
 	"chicoryhoist.example/hoist/member"
 	"chicoryhoist.example/hoist/retry"
@@ -238,19 +237,6 @@
 	})
 }
 
-// confirmCompletion reports the end of a request whose response ended with its connection, once it is clear that the
-// server did not end with it.
-func (j *job) confirmCompletion(id uint64, s value.BackendServer) {
-	c := j.crashCheck(s)
-	go j.Log.Contain("completion check", func() {
-		result := assign.ResultOK
-		if j.attributeCrash(c) {
-			result = assign.ResultError
-		}
-		c.dispatcher.finished(id, result)
-	})
-}
-
 // attributeCrash attributes a crash of the server to the contents and returns true if the server refuses connections.
 //
 // The end of a connection alone does not prove a crash, because connections also break in the network. A server that
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,8 +133,6 @@
 	charged bool
 	// began is set once the current attempt has received a whole event or the body of a response that is not a stream.
 	began bool
-	// unframed is set if the response of the current attempt ends with its connection.
-	unframed bool
 	// lastEventID is the ID of the last forwarded event; it is valid if hasEventID is set.
 	lastEventID int64
 	hasEventID  bool
