Judge contents with the same crashes as one, and order the changes of the guard

Cause: the search for the cause of crashes compared each prompt part with each other one, at every change of the table. Change: contents that account for exactly the same crashes are judged as one, several contents change at once, changes follow one another under a lock, and the first 256 parts of a prompt are charged. The log names 16 parts or contents.

--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -125,6 +126,39 @@
 		}
 	})
 
+	// Guards against a request that is never kept from servers because the search for the cause of the crashes takes longer the
+	// more parts its prompt has, and starts again with each complete response to another request.
+	It("refuses a request whose prompt lists many parts after two crashes, beside other requests", func() {
+		var parts []string
+		for i := range 4000 {
+			parts = append(parts, fmt.Sprintf("%x:8", 0x10000000+i))
+		}
+		crashOn(true, func(r *http.Request) bool { return r.URL.Path == "/stream/deadly" })
+		stop := make(chan struct{})
+		var others sync.WaitGroup
+		for n := range 8 {
+			others.Go(func() {
+				defer GinkgoRecover()
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+						stream(fmt.Sprint("o", n, "-", i), fmt.Sprintf("%x:10,%x:10", n*1_000_000+i, i))
+					}
+				}
+			})
+		}
+		last := sendAll(func(i int) result {
+			return f.send(http.MethodPost, "b.example", "/stream/deadly", fmt.Sprint("d", i), "k1", partsHeader, strings.Join(parts, ","))
+		})
+		close(stop)
+		others.Wait()
+		Expect(crashes()).To(Equal(maxCrashes))
+		Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(last.body).To(ContainSubstring("isolated"))
+	})
+
 	// Guards against a response without a length that ends as complete because its server has crashed in the middle of it.
 	DescribeTable("never ends a response as complete that ends with a crash of its server", func(method, host, path string, events int, whole func(id string) string) {
 		for _, id := range []string{"llm-1", "app-1"} {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +24,11 @@
 	// firstQuarantine is the duration of the first quarantine of a content. It is short, because the content may be sound if
 	// servers crashed for another reason; its trial costs one more server if it is not.
 	firstQuarantine = 30 * hoist.Second
+	// maxSharedParts is the number of prompt parts, from the first one on, that count as shared by other requests. It bounds
+	// the work and the messages for one crash, and is far above the parts of the users' prompts, which are a handful.
+	maxSharedParts = 256
+	// maxLoggedParts bounds the parts that a log line names.
+	maxLoggedParts = 16
 	// maxQuarantinesSent bounds the quarantines that an instance sends to one that starts, about 300 bytes each, next to the
 	// list of members in one datagram.
 	maxQuarantinesSent = 32
@@ -35,6 +42,9 @@
 // instances. The guards of the others decide when they reach no owner.
 type guard struct {
 	suspects atomic.Pointer[retry.Suspects]
+	// writers orders the changes of the suspects. To search for causes takes longer than most changes, so that it would start
+	// again and again if a quick change could come between.
+	writers sync.Mutex
 	// wallClock is used for crash records because they are compared between instances; clock steps of a few seconds
 	// are harmless.
 	wallClock hoist.Clock
@@ -69,10 +79,11 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("part"), id)) | 1
 }
 
-// partContents returns the contents of the prompt parts that other requests may share: all but the last one.
+// partContents returns the contents of the prompt parts that other requests may share: all but the last one, of the first
+// maxSharedParts.
 func partContents(w value.Work) []value.Content {
 	var parts []value.Content
-	for i := range w.Parts().Len() - 1 {
+	for i := range min(w.Parts().Len()-1, maxSharedParts) {
 		parts = append(parts, value.Content{}.WithFingerprint(partFingerprint(w.Parts().At(i).Id())).WithDepth(int32(i)))
 	}
 	return parts
@@ -89,9 +100,10 @@
 // contentName returns the name of a content in logs.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
-// partNames returns the names in logs of the prompt parts that other requests may share.
+// partNames returns the names in logs of the first prompt parts that other requests may share.
 func partNames(w value.Work) []string {
-	return lo.Map(partContents(w), func(c value.Content, _ int) string { return contentName(c.Fingerprint()) })
+	parts := partContents(w)
+	return lo.Map(parts[:min(len(parts), maxLoggedParts)], func(c value.Content, _ int) string { return contentName(c.Fingerprint()) })
 }
 
 // admit returns the refusal of a request with quarantined content, or false if the request may be sent to a server.
@@ -108,7 +120,7 @@
 	}
 	now := g.wallClock.Now()
 	var verdict retry.Verdict
-	hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects {
+	g.change(func(s retry.Suspects) retry.Suspects {
 		s, verdict = s.Admit(contents, now+timeLeft, now)
 		return s
 	})
@@ -138,7 +150,7 @@
 	g.update(func(s retry.Suspects, now hoist.Millis) retry.Suspects {
 		s = s.Completed(parts, now)
 		if s.Charged(whole) {
-			s = s.Cleared(whole, now)
+			s = s.Cleared(now, whole)
 		}
 		return s
 	})
@@ -155,38 +167,60 @@
 // unanswered ends the trials of the contents, which no server has run.
 func (g *guard) unanswered(contents []value.Content) {
 	s := g.suspects.Load()
+	var causes []uint64
 	for _, c := range contents {
 		if s.IsCause(c.Fingerprint()) {
-			hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects { return s.TrialAborted(c.Fingerprint()) })
+			causes = append(causes, c.Fingerprint())
 		}
 	}
+	if len(causes) > 0 {
+		g.change(func(s retry.Suspects) retry.Suspects { return s.TrialAborted(causes...) })
+	}
+}
+
+// change replaces the suspects by a changed copy and returns both.
+func (g *guard) change(f func(retry.Suspects) retry.Suspects) (old, s retry.Suspects) {
+	g.writers.Lock()
+	defer g.writers.Unlock()
+	old = *g.suspects.Load()
+	s = f(old)
+	g.suspects.Store(&s)
+	return old, s
 }
 
 // update changes the suspects and tells the other instances which contents are quarantined or released by the change.
 func (g *guard) update(change func(retry.Suspects, hoist.Millis) retry.Suspects) {
 	now := g.wallClock.Now()
-	var old retry.Suspects
-	s := hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects {
-		old = s
-		return change(s, now)
-	})
-	for _, q := range s.CauseChanges(old, now) {
+	old, s := g.change(func(s retry.Suspects) retry.Suspects { return change(s, now) })
+	items := s.CauseChanges(old, now)
+	for _, q := range items {
 		g.mesh.Submit(member.ItemPublished{Body: q})
+	}
+	// A prompt of many parts makes many contents causes at once; the whole request and its first parts name it in the log.
+	slices.SortFunc(items, func(a, b value.Quarantine) int {
+		return cmp.Or(cmp.Compare(lo.Ternary(a.Whole(), 0, 1), lo.Ternary(b.Whole(), 0, 1)), cmp.Compare(a.Depth(), b.Depth()))
+	})
+	for _, q := range items[:min(len(items), maxLoggedParts)] {
 		code := event.ContentQuarantined
 		if !s.IsCause(q.Fingerprint()) {
 			code = event.ContentReleased
 		}
 		g.log.Write(code, logrus.Fields{
 			"content": contentName(q.Fingerprint()), "depth": q.Depth(), "crashes": q.Crashes(), "remaining_ms": q.RemainingMs(),
-			"rivals": lo.Map(s.Rivals(q.Fingerprint()), func(f uint64, _ int) string { return contentName(f) }),
+			"rivals": rivalNames(s.Rivals(q.Fingerprint())),
 		})
 	}
 }
 
+// rivalNames returns the names in logs of the first rivals.
+func rivalNames(rivals []uint64) []string {
+	return lo.Map(rivals[:min(len(rivals), maxLoggedParts)], func(f uint64, _ int) string { return contentName(f) })
+}
+
 // merge merges the crash records of another instance.
 func (g *guard) merge(q value.Quarantine) {
 	now := g.wallClock.Now()
-	hoist.Update(&g.suspects, func(s retry.Suspects) retry.Suspects { return s.Merged(q, now) })
+	g.change(func(s retry.Suspects) retry.Suspects { return s.Merged(q, now) })
 }
 
 // Quarantined returns what an instance that has just started must know of quarantined content, the newest first.
--- a/retry/admit.go
+++ b/retry/admit.go
@@ -12,11 +12,15 @@
 // because a quarantine in error would otherwise stand: requests with the true cause are refused along with it.
 func (x Suspects) Admit(contents []value.Content, trialEnd, now hoist.Millis) (Suspects, Verdict) {
 	var trials []uint64
+	present := map[uint64]bool{}
+	for _, c := range contents {
+		present[c.Fingerprint()] = true
+	}
 	for _, c := range contents {
 		f := c.Fingerprint()
 		switch s := x.Status(f, now).(type) {
 		case Quarantined:
-			if !x.lacksRival(f, contents) {
+			if !x.causes[f].lackedBy(present) {
 				return x, Deny{Reason: value.RefusalReasonQuarantined, After: s.Until - now}
 			}
 			if s.TrialUntil > now {
@@ -33,8 +37,5 @@
 		case Clean:
 		}
 	}
-	for _, f := range trials {
-		x = x.TrialStarted(f, min(trialEnd, now+trialTimeout))
-	}
-	return x, Allow{}
+	return x.TrialStarted(min(trialEnd, now+trialTimeout), trials...), Allow{}
 }
--- a/retry/causes.go
+++ b/retry/causes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"iter"
 	"maps"
 	"slices"
@@ -12,17 +13,21 @@
 	"chicoryhoist.example/hoist/value"
 )
 
-// candidate is a content that may explain crashes, with those that no better explanation covers.
+// candidate is the contents that account for exactly the same crashes, so that nothing tells them apart. It holds the crashes
+// that no better explanation covers.
 type candidate struct {
-	fingerprint uint64
-	whole       bool
-	// onceComplete is set if a response with the content has ended whole.
+	contents []uint64
+	whole    bool
+	// onceComplete is set if a response with each of the contents has ended whole.
 	onceComplete bool
 	crashes      []value.Charge
 	// count is the number of the crashes as countMoments counts them.
 	count int32
 }
 
+// rivals are lists of contents, any of which may have caused the same crashes. Contents of one list occur at the same crashes.
+type rivals [][]uint64
+
 // suffices reports whether the crashes suffice for a quarantine, of all that no better explanation covers.
 //
 // Where servers crash for other reasons too, a rare content is soon lost with two of them. Two crashes suffice for content
@@ -41,9 +46,9 @@
 	return 2*c.count >= x.countMoments(since)
 }
 
-// mayCauseAll reports whether the content is as likely as the other one to have caused all crashes of the other one.
+// mayCauseAll reports whether the contents are as likely as the other ones to have caused all crashes of the other ones.
 func (c candidate) mayCauseAll(other candidate) bool {
-	return c.fingerprint != other.fingerprint && c.onceComplete == other.onceComplete &&
+	return c.onceComplete == other.onceComplete &&
 		!slices.ContainsFunc(other.crashes, func(x value.Charge) bool { return !contains(c.crashes, x) })
 }
 
@@ -53,8 +58,9 @@
 // was never in a complete response is taken first, then the one with the most crashes, and its crashes no longer count for
 // the others. Contents that explain equally well are all taken. A whole request explains crashes of whole requests only: a
 // stream that is resumed may be lost with two servers that a prompt part has crashed. The rivals of a cause are the contents
-// that explain all of its crashes as well.
-func (x Suspects) findCauses() map[uint64][]uint64 {
+// that explain all of its crashes as well. Contents that account for the same crashes are judged as one, so that the cost
+// depends on the crashes and not on the length of a prompt.
+func (x Suspects) findCauses() map[uint64]rivals {
 	candidates := x.candidates()
 	if len(candidates) == 0 {
 		return nil
@@ -62,7 +68,7 @@
 	all := x.allCrashes()
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !x.suffices(c, all) })
 	possible := slices.Clone(candidates)
-	causes := map[uint64][]uint64{}
+	causes := map[uint64]rivals{}
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, compareCandidates)
 		var byPart, byWhole []value.Charge
@@ -71,11 +77,14 @@
 			case compareCandidates(c, best) != 0:
 				continue
 			case c.whole:
-				byWhole = append(byWhole, c.crashes...)
+				byWhole = lo.Union(byWhole, c.crashes)
 			default:
-				byPart = append(byPart, c.crashes...)
+				byPart = lo.Union(byPart, c.crashes)
+			}
+			r := rivalsOf(c, possible)
+			for _, f := range c.contents {
+				causes[f] = r
 			}
-			causes[c.fingerprint] = rivalsOf(c, possible)
 		}
 		all = without(all, byPart)
 		for i, c := range candidates {
@@ -95,32 +104,51 @@
 	return lo.Reject(charges, func(c value.Charge, _ int) bool { return contains(others, c) })
 }
 
-// rivalsOf returns the contents that may have caused all crashes of the candidate instead of it.
-func rivalsOf(c candidate, candidates []candidate) []uint64 {
-	var rivals []uint64
+// rivalsOf returns the contents that may have caused all crashes of the candidate, its own among them.
+func rivalsOf(c candidate, candidates []candidate) rivals {
+	var r rivals
 	for _, other := range candidates {
 		if other.mayCauseAll(c) {
-			rivals = append(rivals, other.fingerprint)
+			r = append(r, other.contents)
 		}
 	}
-	return rivals
+	return r
 }
 
 // candidates returns the contents that were running at several crashes.
 func (x Suspects) candidates() []candidate {
 	var candidates []candidate
+	indices := map[string]int{}
 	for f, e := range x.entries {
 		if e.charges.Len() < quarantineCrashes {
 			continue
 		}
 		crashes := x.crashes(e)
-		if n := x.countMoments(crashes); n >= quarantineCrashes {
-			candidates = append(candidates, candidate{f, e.whole, x.isOnceComplete(e), crashes, n})
+		n := x.countMoments(crashes)
+		if n < quarantineCrashes {
+			continue
+		}
+		c := candidate{[]uint64{f}, e.whole, x.isOnceComplete(e), crashes, n}
+		key := c.key()
+		if i, ok := indices[key]; ok {
+			candidates[i].contents = append(candidates[i].contents, f)
+			continue
 		}
+		indices[key] = len(candidates)
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
+// key returns a text that is the same for contents that account for the same crashes.
+func (c candidate) key() string {
+	b := fmt.Appendf(nil, "%t %t", c.whole, c.onceComplete)
+	for _, x := range c.crashes {
+		b = fmt.Appendf(b, " %d %d %s", x.AtMs(), x.Born(), x.Server())
+	}
+	return string(b)
+}
+
 // allCrashes returns one charge for each crash in the table, also for those of contents that were cleared since.
 func (x Suspects) allCrashes() []value.Charge {
 	// Most charges are equal, because a crash is charged to all that the server was running.
@@ -156,11 +184,16 @@
 	}
 }
 
-// lacksRival reports whether a request with the contents lacks a rival of the cause. How such a request ends tells which
-// of the two has caused the crashes.
-func (x Suspects) lacksRival(cause uint64, contents []value.Content) bool {
-	return slices.ContainsFunc(x.causes[cause], func(rival uint64) bool {
-		return !slices.ContainsFunc(contents, func(c value.Content) bool { return c.Fingerprint() == rival })
+// Rivals returns the contents that explain the crashes of the cause as well as it does.
+func (x Suspects) Rivals(cause uint64) []uint64 {
+	return lo.Without(slices.Sorted(slices.Values(slices.Concat(x.causes[cause]...))), cause)
+}
+
+// lackedBy reports whether a request with the contents lacks one of the rivals. How such a request ends tells which of them
+// has caused the crashes.
+func (r rivals) lackedBy(contents map[uint64]bool) bool {
+	return slices.ContainsFunc(r, func(list []uint64) bool {
+		return slices.ContainsFunc(list, func(f uint64) bool { return !contents[f] })
 	})
 }
 
--- a/retry/causes_test.go
+++ b/retry/causes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strconv"
 	"strings"
 
@@ -96,3 +97,28 @@
 	}
 	return entries
 }())
+
+// allocatedBy returns the number of bytes that two crashes of a request with n prompt parts and its next attempt allocate.
+func allocatedBy(n int) uint64 {
+	var fingerprints []uint64
+	for i := range n {
+		fingerprints = append(fingerprints, uint64(i+1))
+	}
+	parts := contents(0, fingerprints...)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	x := retry.NewSuspects(10 * hoist.Minute).WithSharedContent(30 * hoist.Second)
+	x = x.WithCrash(crashOf("a").WithBorn(1), parts, hoist.Second)
+	x = x.WithCrash(crashOf("b").WithBorn(2), parts, 2*hoist.Second)
+	_, v := x.Admit(parts, hoist.Minute, 3*hoist.Second)
+	runtime.ReadMemStats(&after)
+	Expect(v).To(BeAssignableToTypeOf(retry.Deny{}))
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against a search for causes whose cost grows with the square of the length of a prompt. Bytes stand for the cost,
+// because they do not depend on the machine.
+var _ = It("finds the causes of crashes at a cost that grows with the prompt", func() {
+	const factor = 8
+	Expect(allocatedBy(256 * factor)).To(BeNumerically("<", 2*factor*allocatedBy(256)))
+})
--- a/retry/guard.go
+++ b/retry/guard.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"github.com/samber/lo"
+
 	"chicoryhoist.example/hoist"
 	"chicoryhoist.example/hoist/place"
 	"chicoryhoist.example/hoist/value"
@@ -111,9 +113,8 @@
 		g.prefixes = g.prefixes.Completed(prefixContents(running.Ask()), now)
 	case value.EndKindCrashed:
 	default:
-		for _, c := range prefixContents(running.Ask()) {
-			g.prefixes = g.prefixes.TrialAborted(c.Fingerprint())
-		}
+		fingerprints := lo.Map(prefixContents(running.Ask()), func(c value.Content, _ int) uint64 { return c.Fingerprint() })
+		g.prefixes = g.prefixes.TrialAborted(fingerprints...)
 	}
 	var verdict Verdict
 	if running.Ask().Alone() {
--- a/retry/state.go
+++ b/retry/state.go
@@ -110,7 +110,7 @@
 		if x.TrialUntil > 0 {
 			return s, Delay{min(trialRecheckDelay, x.TrialUntil-now)}
 		}
-		s.suspects = s.suspects.TrialStarted(fingerprint, now+trialTimeout)
+		s.suspects = s.suspects.TrialStarted(now+trialTimeout, fingerprint)
 		return s, Allow{Alone: true}
 	case Clean:
 		return s, Allow{}
@@ -172,7 +172,7 @@
 func (s State) recordTrialEnd(e TrialEnded, now hoist.Millis) (State, Verdict) {
 	switch e.Kind {
 	case value.EndKindFinished:
-		s.suspects = s.suspects.Cleared(e.Fingerprint, now)
+		s.suspects = s.suspects.Cleared(now, e.Fingerprint)
 		return s, s.broadcast([]uint64{e.Fingerprint}, now)
 	case value.EndKindCrashed:
 	case value.EndKindUnspecified, value.EndKindCancelled, value.EndKindRefused, value.EndKindFailed,
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -79,8 +79,8 @@
 // number of times.
 type Suspects struct {
 	entries map[uint64]suspect
-	// causes holds the contents that best explain the crashes and, for each, its rivals, see findCauses.
-	causes      map[uint64][]uint64
+	// causes holds the contents that best explain the crashes and, for each, it and its rivals, see findCauses.
+	causes      map[uint64]rivals
 	completions Completions
 	quarantine  hoist.Millis
 	// firstQuarantine is the duration of the first quarantine of a content, see WithSharedContent; zero means quarantine.
@@ -150,33 +150,33 @@
 	return x.withEntries(entries, now)
 }
 
-// TrialStarted returns the table after a trial of the content has started, which blocks others at most until the time.
-func (x Suspects) TrialStarted(fingerprint uint64, until hoist.Millis) Suspects {
-	return x.withSuspect(fingerprint, func(e suspect) suspect {
-		e.trialUntil = until
-		return e
-	})
+// TrialStarted returns the table after a trial of the contents has started, which blocks others at most until the time.
+func (x Suspects) TrialStarted(until hoist.Millis, fingerprints ...uint64) Suspects {
+	return x.withTrials(until, fingerprints)
 }
 
-// TrialAborted returns the table after a trial has ended without a result.
-func (x Suspects) TrialAborted(fingerprint uint64) Suspects {
-	if x.entries[fingerprint].trialUntil == 0 {
-		return x
-	}
-	return x.withSuspect(fingerprint, func(e suspect) suspect {
-		e.trialUntil = 0
-		return e
+// TrialAborted returns the table after a trial of the contents has ended without a result.
+func (x Suspects) TrialAborted(fingerprints ...uint64) Suspects { return x.withTrials(0, fingerprints) }
+
+// withTrials returns the table with the end of the trials of the contents set. Causes do not depend on it.
+func (x Suspects) withTrials(until hoist.Millis, fingerprints []uint64) Suspects {
+	return x.changed(fingerprints, func(e suspect) (suspect, bool) {
+		changed := e.trialUntil != until
+		e.trialUntil = until
+		return e, changed
 	})
 }
 
-// Cleared returns the table after a server has run the content without a crash, which shows that the content did not
-// cause the earlier ones.
-func (x Suspects) Cleared(fingerprint uint64, now hoist.Millis) Suspects {
-	return x.withSuspect(fingerprint, func(e suspect) suspect {
+// Cleared returns the table after a server has run the contents without a crash, which shows that they did not cause the
+// earlier ones.
+func (x Suspects) Cleared(now hoist.Millis, fingerprints ...uint64) Suspects {
+	x = x.changed(fingerprints, func(e suspect) (suspect, bool) {
 		e.trialUntil = 0
 		e.clearedAt = max(e.clearedAt, now)
-		return e
+		return e, true
 	})
+	x.causes = x.findCauses()
+	return x
 }
 
 // Completed returns the table after a response to a request with the shared contents has ended whole, which clears them.
@@ -184,12 +184,16 @@
 // A response that has begun clears nothing, because a server may crash at any of its events.
 func (x Suspects) Completed(contents []value.Content, now hoist.Millis) Suspects {
 	x.completions = x.completions.With(contents, now)
+	var charged []uint64
 	for _, c := range contents {
 		if x.Charged(c.Fingerprint()) {
-			x = x.Cleared(c.Fingerprint(), now)
+			charged = append(charged, c.Fingerprint())
 		}
 	}
-	return x
+	if len(charged) == 0 {
+		return x
+	}
+	return x.Cleared(now, charged...)
 }
 
 // Completions returns the record of complete responses.
@@ -207,9 +211,6 @@
 	return ok
 }
 
-// Rivals returns the contents that explain the crashes of the cause as well as it does.
-func (x Suspects) Rivals(cause uint64) []uint64 { return x.causes[cause] }
-
 // Status returns how requests with the fingerprint are treated.
 func (x Suspects) Status(fingerprint uint64, now hoist.Millis) Status {
 	e, ok := x.entries[fingerprint]
@@ -378,16 +379,24 @@
 	return value.ListOf(merged[:min(len(merged), maxCharges)]...)
 }
 
-// withSuspect returns the table with the entry of a fingerprint changed, if there is one.
-func (x Suspects) withSuspect(fingerprint uint64, f func(suspect) suspect) Suspects {
-	e, ok := x.entries[fingerprint]
-	if !ok {
-		return x
+// changed returns the table with the entries of the fingerprints changed for which f reports a change.
+func (x Suspects) changed(fingerprints []uint64, f func(suspect) (suspect, bool)) Suspects {
+	var entries map[uint64]suspect
+	for _, k := range fingerprints {
+		e, ok := x.entries[k]
+		if !ok {
+			continue
+		}
+		if next, changed := f(e); changed {
+			if entries == nil {
+				entries = x.cloneEntries()
+			}
+			entries[k] = next
+		}
+	}
+	if entries != nil {
+		x.entries = entries
 	}
-	entries := x.cloneEntries()
-	entries[fingerprint] = f(e)
-	x.entries = entries
-	x.causes = x.findCauses()
 	return x
 }
 
