Charge headers by their fields, and let them give way with the body

The holding of a header did not give way while the body was unfinished. Change: each field beyond 32 is charged 256 bytes, counted in the lines that arrive and again when the request is served. A request has one holding for its header and its body.

--- a/accept/body.go
+++ b/accept/body.go
@@ -63,8 +63,14 @@
 	first [firstBytes]byte
 }
 
-// Open opens a ticket for the request's body; if the body has to give way, the pending read of the connection ends.
+// Open opens a ticket for the request's body; if the body has to give way, the pending read of the connection ends. A request
+// whose header was charged has that ticket, so that both give way together.
 func Open(a *intake.Account, w http.ResponseWriter, r *http.Request) *intake.Ticket {
+	if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		if t := x.ticket.Load(); t != nil {
+			return t
+		}
+	}
 	control := http.NewResponseController(w)
 	return a.Open(remoteAddress(r.RemoteAddr), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
 }
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -9,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
@@ -18,8 +20,12 @@
 )
 
 const (
-	// freeHeaderBytes is the part of a header that is not charged; the buffers of the server hold it in any case.
+	// freeHeaderBytes and freeFields are the part of a header that is not charged; ordinary headers are below it.
 	freeHeaderBytes = 4 << 10
+	freeFields      = 32
+	// fieldBytes is charged for each further field, however short: the server holds a field in a map, and a request is
+	// forwarded with two copies of that map. Fields of 6 bytes take 92 bytes in the first map and 72 in each copy.
+	fieldBytes = 256
 	// headerSlackBytes is what a connection may send beyond the limit of a header before it is closed, because the server
 	// reads ahead and responds with an error just above the limit.
 	headerSlackBytes = 8 << 10
@@ -109,7 +115,7 @@
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
 			// The connection is closed already if its header was late or it was closed for a new one.
-			if !x.advance(phaseServing, phaseIdle, phaseHeader) || !x.completeHeader() {
+			if !x.advance(phaseServing, phaseIdle, phaseHeader) || !x.completeHeader(r.Header) {
 				panic(http.ErrAbortHandler)
 			}
 		}
@@ -228,12 +234,42 @@
 	listener *Listener
 	// state holds a value of type state.
 	state atomic.Int64
-	// header is the number of bytes of the current header; it and the ticket are used by the reading goroutine.
-	header int64
+	// header is the size of the current header, and charged the part of it that was charged. They are used by the goroutine that
+	// reads the headers and serves the requests.
+	header  headerSize
+	charged int64
+	// ticket is the holding of the current request, for its header and its body.
 	ticket atomic.Pointer[intake.Ticket]
 	ended  atomic.Bool
 }
 
+// headerSize counts the bytes and lines of a header as it arrives.
+type headerSize struct {
+	bytes, lines int64
+	// text is set if the current line is not empty, and ended once an empty line has ended the header.
+	text, ended bool
+}
+
+// plus returns the size with the bytes that follow; those behind the end of the header do not count.
+func (h headerSize) plus(b []byte) headerSize {
+	for len(b) > 0 && !h.ended {
+		line, rest, whole := bytes.Cut(b, []byte{'\n'})
+		h.text = h.text || len(bytes.Trim(line, "\r")) > 0
+		h.bytes += int64(len(b) - len(rest))
+		b = rest
+		if whole {
+			h.ended = !h.text && h.lines > 0
+			h.lines, h.text = h.lines+1, false
+		}
+	}
+	return h
+}
+
+// charge returns what a header of the size is charged.
+func (h headerSize) charge() int64 {
+	return max(h.bytes-freeHeaderBytes, 0) + fieldBytes*max(h.lines-freeFields, 0)
+}
+
 // load returns the state.
 func (c *Conn) load() state { return state(c.state.Load()) }
 
@@ -285,34 +321,33 @@
 	if n == 0 || c.load().phase() == phaseServing {
 		return n, err
 	}
-	if c.advance(phaseHeader, phaseIdle) {
-		c.header = 0
-	}
-	c.header += int64(n)
-	if e := c.chargeHeader(int64(n)); e != nil {
+	c.advance(phaseHeader, phaseIdle)
+	c.header = c.header.plus(b[:n])
+	if e := c.chargeHeader(); e != nil {
 		c.listener.Long.Add(1)
 		return 0, e
 	}
 	return n, err
 }
 
-// chargeHeader charges n bytes of a header.
-func (c *Conn) chargeHeader(n int64) error {
+// chargeHeader charges what of the header was not charged yet.
+func (c *Conn) chargeHeader() error {
 	limit := c.listener.headerLimits().Bytes
-	if limit > 0 && c.header > limit+headerSlackBytes {
+	if limit > 0 && c.header.bytes > limit+headerSlackBytes {
 		return errHeaderSize
 	}
-	a := c.listener.options.Account
-	if a == nil || c.header <= freeHeaderBytes {
+	a, n := c.listener.options.Account, c.header.charge()-c.charged
+	if a == nil || n <= 0 {
 		return nil
 	}
 	t := c.ticket.Load()
 	if t == nil {
 		// The ticket of a connection that is being closed at this moment is released below.
-		t = a.Open(remoteAddress(c.RemoteAddr().String()), func() { _ = c.Close() })
+		t = a.Open(remoteAddress(c.RemoteAddr().String()), c.interrupt)
 		c.ticket.Store(t)
 	}
 	err := t.Grow(n)
+	c.charged += n
 	if c.ended.Load() {
 		c.release()
 		return errors.Join(err, net.ErrClosed)
@@ -320,16 +355,35 @@
 	return err
 }
 
-// completeHeader records that the header has arrived, so that the connection does not give way while its request runs. It
-// returns false if the connection had to give way already.
-func (c *Conn) completeHeader() bool {
+// interrupt ends the reading of a request that has to give way. Once its header has arrived, its caller gets a response.
+func (c *Conn) interrupt() {
+	if c.load().phase() == phaseServing {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // Fails only on a closed connection.
+		return
+	}
+	_ = c.Close()
+}
+
+// completeHeader charges what of the header was read along with an earlier request. It returns false if the request has to
+// give way. The holding is complete with the body of the request.
+func (c *Conn) completeHeader(h http.Header) bool {
+	lines := int64(0)
+	for _, values := range h {
+		lines += int64(len(values))
+	}
+	c.header.lines = max(c.header.lines, lines)
+	if err := c.chargeHeader(); err != nil {
+		c.listener.Long.Add(1)
+		return false
+	}
 	t := c.ticket.Load()
-	return t == nil || t.Complete() == nil
+	return t == nil || !t.Leaving()
 }
 
 // becomeIdle records that a request has ended.
 func (c *Conn) becomeIdle() {
 	c.release()
+	c.header, c.charged = headerSize{}, 0
 	// A request that the server answers by itself never leaves phaseHeader.
 	if c.advance(phaseIdle, phaseServing, phaseHeader) {
 		c.listener.signal()
--- a/cmd/standin/hostile/caller.go
+++ b/cmd/standin/hostile/caller.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,9 @@
 // Unread sends a request for the path and does not read the response.
 type Unread struct{ Path string }
 
+// ShortFields sends a header of Bytes in very short fields and a body that it does not end.
+type ShortFields struct{ Bytes int }
+
 // Idle sends nothing.
 type Idle struct{}
 
@@ -52,6 +56,7 @@
 func (Oversized) behaviour()   {}
 func (Withheld) behaviour()    {}
 func (Unread) behaviour()      {}
+func (ShortFields) behaviour() {}
 func (Idle) behaviour()        {}
 
 // Crowd is a number of hostile callers whose connections stay open.
@@ -110,6 +115,8 @@
 		return sendAnnounced(x, b.Announced, b.Sent)
 	case Unread:
 		return write(x, fmt.Appendf(nil, head, "GET", b.Path, "Content-Length: 0"))
+	case ShortFields:
+		return sendShortFields(x, b.Bytes)
 	case Idle:
 		return nil
 	}
@@ -126,6 +133,25 @@
 	return sendBlocks(x, block, total/(size*count))
 }
 
+// sendShortFields sends a header of the given number of bytes, in fields of six bytes, and the beginning of a body.
+func sendShortFields(x net.Conn, total int) error {
+	lines := strings.Split(fmt.Sprintf(head, "POST", "/read/x", chunked), "\r\n")
+	first, rest := lines[0]+"\r\n", strings.Join(lines[1:], "\r\n")
+	var b strings.Builder
+	b.WriteString(first)
+	for i := 0; b.Len()+len(rest)+len("abcd:\r\n") <= total; i++ {
+		b.WriteString(fieldName(i) + ":\r\n")
+	}
+	b.WriteString(rest)
+	return write(x, fmt.Appendf(nil, "%s400\r\n%s\r\n", b.String(), bytes.Repeat([]byte("x"), 0x400)))
+}
+
+// fieldName returns a name of four letters that differs for each of the first 26^3 numbers.
+func fieldName(i int) string {
+	const letters = 26
+	return string([]byte{'x', 'a' + byte(i/letters/letters%letters), 'a' + byte(i/letters%letters), 'a' + byte(i%letters)})
+}
+
 // sendAnnounced announces a body and sends a part of it.
 func sendAnnounced(x net.Conn, announced, sent int) error {
 	if err := write(x, fmt.Appendf(nil, head, "POST", "/read/x", fmt.Sprint("Content-Length: ", announced))); err != nil {
--- a/intake/account.go
+++ b/intake/account.go
@@ -125,6 +125,9 @@
 // Displaced reports whether the holding had to give way.
 func (t *Ticket) Displaced() bool { return t.displaced.Load() }
 
+// Leaving reports whether the holding has to give way or has ended, also before it was interrupted.
+func (t *Ticket) Leaving() bool { return t.account.State().Leaving(t.id) }
+
 // Progress records that bytes have arrived that are charged already.
 func (t *Ticket) Progress() {
 	now := t.account.clock.Now()
