Close connections with incomplete bodies for new ones, and say when none is accepted

Cause: with all connections in use, only idle ones and late headers were closed for new ones. 2,000 unfinished bodies took every connection until their rate ended them, and readiness did not look at the connections (review/10). Change: a connection whose body is incomplete after 1 s is closed for a new one, the one without a byte for longest first; its request does not run yet. An instance is not ready while a connection has waited for more than 1 s to be accepted.

--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -250,4 +250,42 @@
 		s.dial("127.0.0.1", fmt.Sprintf(announced, 3000)+strings.Repeat("\n", 2999))
 		Eventually(func() int64 { return s.account.State().Used() }).WithTimeout(eventual).Should(BeEquivalentTo(3000))
 	})
+
+	// Guards against callers that take all connections with small bodies that they do not end, so that others find none.
+	It("closes a connection whose body stays incomplete", func() {
+		s := serve(accept.Options{Connections: 2}, lenient)
+		first := s.dial("127.0.0.1", chunked+chunk(10))
+		Eventually(func() int { return s.account.State().Holdings() }).WithTimeout(eventual).Should(Equal(1))
+		time.Sleep(5 * time.Millisecond) // The clock counts milliseconds.
+		s.dial("127.0.0.1", chunked+chunk(10))
+		Eventually(func() int { return s.account.State().Holdings() }).WithTimeout(eventual).Should(Equal(2))
+		s.dial("127.0.0.1", fmt.Sprintf(announced, 1)+"x")
+		var results []string
+		for range 2 {
+			var r string
+			Eventually(s.results).WithTimeout(eventual).Should(Receive(&r))
+			results = append(results, r)
+		}
+		Expect(results).To(ConsistOf("broken", "1"))
+		Expect(closed(first)).To(BeTrue())
+		Expect(s.listener.Evicted.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a process that says it is ready while it accepts no connection.
+	It("is full while a connection waits and no other one may be closed", func() {
+		gate := make(chan struct{})
+		n := open()
+		l := accept.Listen(n, accept.Options{Clock: hoist.NewBootClock(), Connections: 1})
+		h := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-gate })}
+		accept.Attach(h)
+		go func() { _ = h.Serve(l) }()
+		DeferCleanup(h.Close)
+		for range 2 {
+			_, err := io.WriteString(connect(n), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(l.IsFull).WithTimeout(eventual).Should(BeTrue())
+		close(gate)
+		Eventually(l.IsFull).WithTimeout(eventual).Should(BeFalse())
+	})
 })
--- a/accept/body.go
+++ b/accept/body.go
@@ -66,7 +66,7 @@
 // Open opens a ticket for the request's body; if the body has to give way, the pending read of the connection ends. A request
 // whose header was charged has that ticket, so that both give way together.
 func Open(a *intake.Account, w http.ResponseWriter, r *http.Request) *intake.Ticket {
-	if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
+	if x := connOf(r); x != nil {
 		if t := x.ticket.Load(); t != nil {
 			return t
 		}
@@ -75,6 +75,12 @@
 	return a.Open(remoteAddress(r.RemoteAddr), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
 }
 
+// connOf returns the connection of a request, or nil if the server does not serve a Listener.
+func connOf(r *http.Request) *Conn {
+	x, _ := r.Context().Value(connKey{}).(*Conn)
+	return x
+}
+
 // remoteAddress returns the address without its port.
 func remoteAddress(address string) string {
 	host, _, err := net.SplitHostPort(address)
@@ -94,10 +100,18 @@
 	b := &bodyReader{
 		body: http.MaxBytesReader(w, r.Body, limit), control: http.NewResponseController(w), ticket: t, rate: rate, start: now, recorded: now,
 	}
+	x := connOf(r)
+	if x != nil {
+		x.advance(phaseBody, phaseServing)
+	}
 	blocks, err := b.readAll(r.ContentLength, limit)
 	if err == nil {
 		err = t.Complete()
 	}
+	// The connection of a body that was still incomplete may have been closed for a new one.
+	if x != nil && !x.advance(phaseServing, phaseBody) && err == nil {
+		err = net.ErrClosed
+	}
 	if err != nil {
 		_ = b.control.SetReadDeadline(time.Now().Add(rejectTime.Duration())) // Fails only on a closed connection.
 		return nil, err
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -29,8 +29,9 @@
 	// headerSlackBytes is what a connection may send beyond the limit of a header before it is closed, because the server
 	// reads ahead and responds with an error just above the limit.
 	headerSlackBytes = 8 << 10
-	// slowHeaderTime is the age at which an incomplete header counts as idle; a header usually comes in one packet.
-	slowHeaderTime = hoist.Second
+	// slowTime is the age at which an incomplete header or body counts as idle; a header usually comes in one packet, and an
+	// ordinary body in a few.
+	slowTime = hoist.Second
 	// sweepInterval is the interval at which late headers are looked for.
 	sweepInterval = 500 * hoist.Millis(1)
 )
@@ -42,12 +43,14 @@
 const (
 	phaseIdle int64 = iota
 	phaseHeader
+	// phaseBody means that the body of a request is being read, so that the request does not run yet.
+	phaseBody
 	phaseServing
 	phaseClosed
 )
 
 // phaseBits is the number of bits of a phase.
-const phaseBits = 2
+const phaseBits = 3
 
 // state is a phase of a connection and the time at which it began. Both are one value, so that a connection whose phase has just
 // changed is not judged by the time of its last one.
@@ -79,8 +82,8 @@
 	Header func() HeaderLimits
 }
 
-// Listener accepts a bounded number of connections. Beyond it, the connection that has been idle longest is closed, and if
-// none is idle, no connection is accepted until one ends.
+// Listener accepts a bounded number of connections. Beyond it, the connection that has been idle longest is closed, then one
+// whose header or body is incomplete after slowTime. If there is none, no connection is accepted until one ends.
 type Listener struct {
 	net.Listener
 	options Options
@@ -90,7 +93,9 @@
 	changed chan struct{}
 	closed  chan struct{}
 	isDown  atomic.Bool
-	// Evicted counts idle connections that were closed for new ones, Late the headers that did not end in time, Long those
+	// fullSince is the time since which a connection waits to be accepted, or zero.
+	fullSince atomic.Int64
+	// Evicted counts connections that were closed for new ones, Late the headers that did not end in time, Long those
 	// that were too long or for which there was no memory.
 	Evicted, Late, Long atomic.Int64
 }
@@ -113,7 +118,7 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if x, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		if x := connOf(r); x != nil {
 			// The connection is closed already if its header was late or it was closed for a new one.
 			if !x.advance(phaseServing, phaseIdle, phaseHeader) || !x.completeHeader(r.Header) {
 				panic(http.ErrAbortHandler)
@@ -132,10 +137,12 @@
 	if err != nil {
 		return nil, err
 	}
+	defer l.fullSince.Store(0)
 	for l.count.Load() >= l.options.Connections && !l.evict() {
+		l.fullSince.CompareAndSwap(0, int64(l.options.Clock.Now()))
 		select {
 		case <-l.changed:
-		case <-l.options.Clock.After(slowHeaderTime):
+		case <-l.options.Clock.After(slowTime):
 		case <-l.closed:
 			_ = n.Close() // The server is stopping.
 			return nil, net.ErrClosed
@@ -148,6 +155,12 @@
 	return x, nil
 }
 
+// IsFull reports whether a connection has waited for longer than slowTime to be accepted.
+func (l *Listener) IsFull() bool {
+	since := hoist.Millis(l.fullSince.Load())
+	return since > 0 && l.options.Clock.Now()-since > slowTime
+}
+
 // Close closes the listener; its connections stay open.
 func (l *Listener) Close() error {
 	if l.isDown.CompareAndSwap(false, true) {
@@ -156,8 +169,8 @@
 	return l.Listener.Close()
 }
 
-// evict closes the connection that has been idle longest and has no unread input, or whose header has been incomplete longest. It
-// returns false if there is none.
+// evict closes the connection that has been idle longest and has no unread input, or whose header has been incomplete longest, or
+// whose incomplete body has received nothing for longest. It returns false if there is none.
 func (l *Listener) evict() bool {
 	for {
 		x, s := l.oldest()
@@ -176,16 +189,20 @@
 	now := l.options.Clock.Now()
 	var oldest *Conn
 	var state state
+	var since hoist.Millis
 	for k := range l.conns.Range {
 		x := k.(*Conn)
 		s := x.load()
-		p := s.phase()
-		if p != phaseIdle && (p != phaseHeader || now-s.since() < slowHeaderTime) {
+		p, at := s.phase(), s.since()
+		switch {
+		case p > phaseBody, p != phaseIdle && now-at < slowTime:
 			continue
+		case p == phaseBody:
+			at = max(at, hoist.Millis(x.lastByte.Load()))
 		}
-		before := oldest == nil || p < state.phase() || p == state.phase() && s < state
-		if before && (p != phaseIdle || !x.hasInput()) {
-			oldest, state = x, s
+		before := oldest == nil || p < state.phase() || p == state.phase() && at < since
+		if before && (p == phaseHeader || !x.hasInput()) {
+			oldest, state, since = x, s, at
 		}
 	}
 	return oldest, state
@@ -234,6 +251,8 @@
 	listener *Listener
 	// state holds a value of type state.
 	state atomic.Int64
+	// lastByte is the time at which the last bytes of the current body were read.
+	lastByte atomic.Int64
 	// header is the size of the current header, and charged the part of it that was charged. They are used by the goroutine that
 	// reads the headers and serves the requests.
 	header  headerSize
@@ -318,7 +337,14 @@
 // Read reads and charges what belongs to a header.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 || c.load().phase() == phaseServing {
+	switch c.load().phase() {
+	case phaseServing:
+		return n, err
+	case phaseBody:
+		c.lastByte.Store(int64(c.listener.options.Clock.Now()))
+		return n, err
+	}
+	if n == 0 {
 		return n, err
 	}
 	c.advance(phaseHeader, phaseIdle)
@@ -357,7 +383,7 @@
 
 // interrupt ends the reading of a request that has to give way. Once its header has arrived, its caller gets a response.
 func (c *Conn) interrupt() {
-	if c.load().phase() == phaseServing {
+	if p := c.load().phase(); p == phaseServing || p == phaseBody {
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // Fails only on a closed connection.
 		return
 	}
@@ -385,7 +411,7 @@
 	c.release()
 	c.header, c.charged = headerSize{}, 0
 	// A request that the server answers by itself never leaves phaseHeader.
-	if c.advance(phaseIdle, phaseServing, phaseHeader) {
+	if c.advance(phaseIdle, phaseServing, phaseBody, phaseHeader) {
 		c.listener.signal()
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -221,7 +221,7 @@
 // exportConnections registers the counters of the listener for callers.
 func (p *Process) exportConnections(l *accept.Listener) {
 	p.metrics.Value("caller_connections", "Open connections of callers.", func() float64 { return float64(l.Count()) })
-	p.counter("connections_evicted", "Idle connections of callers that were closed for new ones.", &l.Evicted)
+	p.counter("connections_evicted", "Connections of callers that were idle, or whose header or body was incomplete, and that were closed for new ones.", &l.Evicted)
 	p.counter("headers_late", "Connections closed because a request header did not end in time.", &l.Late)
 	p.counter("headers_long", "Connections closed because a request header was too long or there was no memory for it.", &l.Long)
 }
@@ -271,6 +271,7 @@
 		accept.Attach(s.server)
 		if s.server == callers {
 			p.exportConnections(bounded)
+			p.edge.Watch(bounded)
 			go bounded.Sweep(sweep)
 		}
 		go func() { failed <- s.server.Serve(bounded) }()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"chicoryhoist.example/hoist"
@@ -38,6 +39,8 @@
 	dialect value.Dialect
 	log     *event.Log
 	limits  *Limits
+	// listener is that of the callers, or nil before it is known.
+	listener atomic.Pointer[accept.Listener]
 }
 
 // New returns a server that forwards to the relay within the limits.
@@ -53,9 +56,13 @@
 	return d
 }
 
+// Watch makes readiness depend on whether the listener of the callers accepts connections.
+func (s *Server) Watch(l *accept.Listener) { s.listener.Store(l) }
+
 // Ready handles a readiness check.
 func (s *Server) Ready(w http.ResponseWriter, _ *http.Request) {
-	if s.relay.Draining() || !s.relay.Ready() {
+	l := s.listener.Load()
+	if s.relay.Draining() || !s.relay.Ready() || l != nil && l.IsFull() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
