Keep no route tables in the history of changes

Cause: each instance kept the last 256 changes for others by number, and a change of the configuration as the whole table. Change: the history holds no route tables; an instance that is behind gets the newest one from the state.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync/atomic"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"chicoryhoist.example/hoist"
@@ -31,7 +32,8 @@
 type snapshot struct {
 	view  *View
 	state State
-	// history holds the newest changes, the oldest first; it contains all changes after the revision completeAfter.
+	// history holds the newest changes, the oldest first; it contains all changes after the revision completeAfter but route
+	// tables, of which only that of the state is of use.
 	history       value.List[value.FeedRecord]
 	completeAfter int64
 	// away is set while the content is not confirmed by the store or by an instance that is closer to it.
@@ -233,9 +235,10 @@
 	}
 }
 
-// withHistory adds records to the history.
+// withHistory adds records to the history. An older route table is of no use to another instance, and a large one may take
+// a megabyte.
 func (s *snapshot) withHistory(records []value.FeedRecord) *snapshot {
-	s.history = s.history.Append(records...)
+	s.history = s.history.Append(lo.Reject(records, func(r value.FeedRecord, _ int) bool { return isTable(r) })...)
 	for s.history.Len() > maxHistoryRecords {
 		s.completeAfter = s.history.At(0).Revision()
 		s.history = s.history.Without(0)
@@ -243,6 +246,26 @@
 	return s
 }
 
+// isTable reports whether the record contains a route table.
+func isTable(r value.FeedRecord) bool {
+	_, ok := r.Body().(value.RouteTable)
+	return ok
+}
+
+// changesAfter returns the changes after the revision, which is not before completeAfter.
+func (s *snapshot) changesAfter(revision int64) []value.FeedRecord {
+	var records []value.FeedRecord
+	if r := s.state.tableRecord; r.Revision() > revision {
+		records = append(records, r)
+	}
+	for r := range s.history.All() {
+		if r.Revision() > revision {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
 // logChanges logs the changes of an event.
 func (f *Follower) logChanges(e Event, before *snapshot, v *View) {
 	old := before.view
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -104,6 +104,23 @@
 	return p
 }
 
+// countingMesh counts the bytes of the responses to an instance that is not there.
+type countingMesh struct{ bytes atomic.Int64 }
+
+func (m *countingMesh) SendTo(_ string, b value.DatagramBody) {
+	if p, ok := b.(value.FeedPart); ok {
+		m.bytes.Add(int64(len(p.Content())))
+	}
+}
+
+func (m *countingMesh) Converging() bool { return false }
+
+func (m *countingMesh) ReaderPlan() member.ReaderPlan {
+	return member.ReaderPlan{Reader: true, Instances: 1}
+}
+
+func (m *countingMesh) RandomPeer() (string, bool) { return "", false }
+
 // readerOrder holds the names of the followers that read the store, in the order of their turn; the others do not.
 var readerOrder = []string{"reader", "listener", "third"}
 
@@ -173,6 +190,28 @@
 		Eventually(func() hoist.Millis { return listener.View().ConfirmedAt }).WithTimeout(5 * time.Second).Should(BeNumerically(">", before))
 	})
 
+	// Guards against a process that keeps every version of a large configuration for instances that are behind, until its memory
+	// is exhausted.
+	It("send an instance that is behind only the newest route table", func() {
+		sent := &countingMesh{}
+		peers, sources := fleet(100, "reader")
+		peers["reader"].Mesh = sent
+		go peers["reader"].Run(ctx)
+		for n := range int64(8) {
+			sources["reader"].revision.Store(n + 1)
+			Eventually(version(peers["reader"])).WithTimeout(5 * time.Second).Should(Equal(uint64(n + 1)))
+		}
+		received := func(after int64) int64 {
+			sent.bytes.Store(0)
+			peers["reader"].Receive("behind", value.FeedAsk{}.WithRevision(after))
+			return sent.bytes.Load()
+		}
+		last := received(7)
+		Expect(last).To(BeNumerically(">", 1000))
+		Expect(received(1)).To(BeNumerically("~", last, 10))
+		Expect(received(8)).To(BeNumerically("<", 1000))
+	})
+
 	// Guards against list requests of all instances, which occur when the store has compacted its history.
 	It("take the complete list from the reader when the store has compacted its history", func() {
 		_, listener, readerSource, listenerSource := pair(ctx, 100)
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -327,13 +327,7 @@
 	case response.Whole():
 		response = response.WithRecords(value.ListOf(current.state.Records()...))
 	default:
-		var records []value.FeedRecord
-		for r := range current.history.All() {
-			if r.Revision() > request.Revision() {
-				records = append(records, r)
-			}
-		}
-		response = response.WithRecords(value.ListOf(records...))
+		response = response.WithRecords(value.ListOf(current.changesAfter(request.Revision())...))
 	}
 	content, err := proto.Marshal(wire.FeedAnswerWire(response))
 	if err != nil {
