Judge the lines of events whole

Cause: http1.EventReader judged each part of its 4 KiB buffer by itself, so that the end of a line of 4,096 bytes was taken for the end of its event. Change: lines are judged whole. make fuzz runs FuzzEvents.

--- a/Makefile
+++ b/Makefile
@@ -24,9 +24,10 @@
 	go test $$(go list $(MODULES) | grep -v '/cmd/standin/hostile$$')
 	go test ./cmd/standin/hostile
 
-# Fuzzes the decoders of what the store and other instances send.
+# Fuzzes the decoders of what the store, backend servers and other instances send.
 fuzz:
 	go test ./platform -run FuzzTranslate -fuzz FuzzTranslate -fuzztime $(FUZZTIME)
+	go test ./http1 -run FuzzEvents -fuzz FuzzEvents -fuzztime $(FUZZTIME)
 	go test ./mesh -run FuzzDatagram -fuzz FuzzDatagram -fuzztime $(FUZZTIME)
 
 bench:
--- a/http1/events.go
+++ b/http1/events.go
@@ -40,9 +40,11 @@
 func (e *EventReader) Next() (Event, error) {
 	e.data = e.data[:0]
 	var v Event
+	// start is the start of the current line, which may take several reads.
+	start := 0
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.data = append(e.data, line...)
+		part, err := e.reader.ReadSlice('\n')
+		e.data = append(e.data, part...)
 		switch {
 		case errors.Is(err, io.EOF) && len(e.data) == 0:
 			return v, io.EOF
@@ -55,12 +57,13 @@
 		case err != nil:
 			continue
 		}
-		field := bytes.TrimRight(line, "\r\n")
+		field, first := bytes.TrimRight(e.data[start:], "\r\n"), start == 0
+		start = len(e.data)
 		if text, ok := bytes.CutPrefix(field, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
 			v.ID, v.Numbered = id, err == nil
 		}
-		if len(field) == 0 && len(e.data) > len(line) {
+		if len(field) == 0 && !first {
 			v.Data = e.data
 			return v, nil
 		}
