Pass streams whose event IDs leave numbers out

Change: IDs must increase. After a resumption the next ID must be the next number only if there were several before, each the next number.

--- a/cmd/standin/origin/behaviour.go
+++ b/cmd/standin/origin/behaviour.go
@@ -13,6 +13,8 @@
 	Resume ResumeResponse
 	// Unframed is set if responses have neither a length nor chunks and end with their connection.
 	Unframed bool
+	// IDStep is the step from the ID of one event of a stream to the next; zero stands for 1.
+	IDStep int
 	// Leaving is set if all responses say that the server is leaving.
 	Leaving bool
 	// RetryAfter is the Retry-After header of the refusal of every request; if it is empty, requests are served.
--- a/cmd/standin/origin/server.go
+++ b/cmd/standin/origin/server.go
@@ -120,8 +120,11 @@
 }
 
 // StreamEvent returns event n, counted from 1, of the stream for the request with the id.
-func StreamEvent(id string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %016x\n\n", n, xxhash.Sum64String(id+"/"+strconv.Itoa(n)))
+func StreamEvent(id string, n int) string { return streamEvent(id, n, n) }
+
+// streamEvent returns event n of the stream with the event ID.
+func streamEvent(id string, n, eventID int) string {
+	return fmt.Sprintf("id: %d\ndata: %016x\n\n", eventID, xxhash.Sum64String(id+"/"+strconv.Itoa(n)))
 }
 
 // ServeHTTP serves one request, subject to the next fault.
@@ -161,11 +164,11 @@
 	if b.Resume.respond(w, r) {
 		return
 	}
-	s.serve(w, r, id, f, b.Crash)
+	s.serve(w, r, id, f, b)
 }
 
 // serve runs the request, subject to the fault.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, id string, f Fault, c Crash) {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, id string, f Fault, b Behaviour) {
 	switch f {
 	case Reset:
 		panic(http.ErrAbortHandler)
@@ -179,7 +182,7 @@
 		panic(http.ErrAbortHandler)
 	default:
 		if strings.HasPrefix(r.URL.Path, StreamPrefix) {
-			s.stream(w, r, id, f, c)
+			s.stream(w, r, id, f, b)
 			return
 		}
 		time.Sleep(s.delay)
@@ -188,15 +191,17 @@
 }
 
 // stream sends the events that follow the last one that the caller has received.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, f Fault, c Crash) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, f Fault, b Behaviour) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	step := max(b.IDStep, 1)
 	last, err := strconv.Atoi(r.Header.Get(lastEventHeader))
 	if err != nil {
 		last = 0
 	}
+	last /= step
 	control := http.NewResponseController(w)
 	for n := last + 1; n <= EventsPerStream; n++ {
-		e := StreamEvent(id, n)
+		e := streamEvent(id, n, n*step)
 		if f == Truncate && n > last+EventsPerStream/3 {
 			_, _ = io.WriteString(w, e[:len(e)/2])
 			_ = control.Flush()
@@ -209,6 +214,6 @@
 			return
 		}
 		time.Sleep(s.delay)
-		c.crashIfDeadly(w, r, n-last)
+		b.Crash.crashIfDeadly(w, r, n-last)
 	}
 }
--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -159,6 +160,31 @@
 		Expect(last.body).To(ContainSubstring("isolated"))
 	})
 
+	// Guards against streams that are broken off because their event IDs increase but leave numbers out, and against a stream
+	// that goes on with an event that was sent before.
+	DescribeTable("passes streams whose event IDs leave numbers out, and resumes them", func(host string, events int) {
+		const step = 10
+		for id, s := range f.servers {
+			b := origin.Behaviour{IDStep: step}
+			if id == "llm-1" && events > 0 {
+				first := func(r *http.Request) bool { return r.Header.Get("Last-Event-Id") == "" }
+				b.Crash = origin.Crash{Deadly: first, AfterHeader: true, AfterEvents: events, Stop: f.hosts[id].Crash}
+			}
+			s.Behave(b)
+		}
+		// The budget of so few requests has room for one repeat.
+		for i := 0; i < 6 && crashes() == 0; i++ {
+			id := fmt.Sprint("g", i)
+			whole := regexp.MustCompile(`id: (\d+)`).ReplaceAllString(fullStream(id), "id: ${1}0")
+			Expect(f.send(http.MethodPost, host, "/stream/x", id, "k1").body).To(Equal(whole))
+		}
+		Expect(crashes() > 0).To(Equal(events > 0))
+	},
+		Entry("without a crash", "b.example", 0),
+		Entry("resumed after one event", "a.example", 1),
+		Entry("resumed after several events", "a.example", 4),
+	)
+
 	// Guards against a response without a length that ends as complete because its server has crashed in the middle of it.
 	DescribeTable("never ends a response as complete that ends with a crash of its server", func(method, host, path string, events int, whole func(id string) string) {
 		for _, id := range []string{"llm-1", "app-1"} {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -111,8 +111,8 @@
 	if j.workspace.Name() != "" {
 		h.Set(d.Workspace(), j.workspace.Name())
 	}
-	if j.hasEventID {
-		h.Set(lastEventHeader, strconv.FormatInt(j.lastEventID, 10))
+	if j.numbering.known {
+		h.Set(lastEventHeader, strconv.FormatInt(j.numbering.last, 10))
 	}
 	return http1.Request{
 		Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: h, Body: j.request.Body,
@@ -318,7 +318,7 @@
 			return Completed{}, nil
 		}
 		if err == nil {
-			err = j.checkOrder(e, first)
+			err = j.numbering.check(e, first)
 		}
 		if err != nil {
 			return j.unusableOutcome(ctx, err)
@@ -332,8 +332,8 @@
 		}
 		j.recordEventTime()
 		if e.Numbered {
-			j.lastEventID, j.hasEventID = e.ID, true
-		} else if !j.hasEventID {
+			j.numbering = j.numbering.with(e.ID)
+		} else if !j.numbering.known {
 			// Without an ID to go on after, another server would send the beginning again.
 			j.progress.Repeatable = false
 		}
@@ -349,13 +349,33 @@
 	j.lastEventAt = now
 }
 
-// checkOrder returns an error if the event's ID does not follow the last forwarded one. The first event after a resumption
-// must have an ID, because it may be an error that the server sends instead of the stream.
-func (j *job) checkOrder(e http1.Event, first bool) error {
+// numbering is what the events of a stream that were forwarded say about its event IDs.
+type numbering struct {
+	// last is the last event ID; known is set if there is one.
+	last  int64
+	known bool
+	// consecutive is set while there were several event IDs, each the next number, and gap once one was not.
+	consecutive, gap bool
+}
+
+// with returns the numbering after an event with the ID.
+func (n numbering) with(id int64) numbering {
+	if n.known {
+		n.gap = n.gap || id != n.last+1
+		n.consecutive = !n.gap
+	}
+	n.last, n.known = id, true
+	return n
+}
+
+// check returns an error if the event does not follow the forwarded ones. IDs increase, but may leave numbers out. The first
+// event after a resumption must have an ID, because it may be an error that the server sends instead of the stream; it must
+// be the next number if all others were, because it may come after one that the server left out.
+func (n numbering) check(e http1.Event, first bool) error {
 	switch {
-	case !j.hasEventID:
+	case !n.known:
 		return nil
-	case e.Numbered && e.ID != j.lastEventID+1, !e.Numbered && first:
+	case !e.Numbered && first, e.Numbered && e.ID <= n.last, e.Numbered && first && n.consecutive && e.ID != n.last+1:
 		return errEventOrder
 	default:
 		return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,10 +132,8 @@
 	// charged is set if the next attempt counts against the retry budget.
 	charged bool
 	// began is set once the current attempt has received a whole event or the body of a response that is not a stream.
-	began bool
-	// lastEventID is the ID of the last forwarded event; it is valid if hasEventID is set.
-	lastEventID int64
-	hasEventID  bool
+	began     bool
+	numbering numbering
 	// The following fields describe the request in the log; firstByteTime is the time from the arrival to the first
 	// byte of the response.
 	server        string
