--- a/cmd/standin/hostile/hostile_test.go
+++ b/cmd/standin/hostile/hostile_test.go
@@ -39,7 +39,7 @@
 	manyCallers     = 800
 	// headerBytes and bodyBytes are the limits of the configuration for a header and a body.
 	headerBytes = 16 << 10
-	bodyBytes = 4 << 20
+	bodyBytes   = 4 << 20
 	// callers is the number of hostile callers that send bodies, and idleCallers of those that send nothing.
 	callers     = 64
 	idleCallers = 700
