Charge crashes to a request without its query too

Cause: the hash of a whole request includes its query, so a request that crashes servers and comes with another query each time was never quarantined. Change: a request with a query is also charged by its hash without the query, as a content that other requests may share and that complete responses clear.

--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -81,6 +81,18 @@
 		Entry("a plain request, after the response header", "a.example", "/once/deadly", true),
 	)
 
+	// Guards against a request that crashes one server after the other because it comes with another query each time, and
+	// against refusing sound requests for the same path.
+	It("refuses a request that comes with another query after two crashes", func() {
+		crashOn(true, func(r *http.Request) bool { return r.URL.Path == "/once/deadly" })
+		last := sendAll(func(i int) result {
+			return f.send(http.MethodGet, "a.example", fmt.Sprint("/once/deadly?n=", i), fmt.Sprint("c", i), "k1")
+		})
+		Expect(crashes()).To(Equal(maxCrashes))
+		Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.send(http.MethodGet, "a.example", "/once/sound?n=1", "s1", "k1").status).To(Equal(http.StatusOK))
+	})
+
 	const partsHeader = "Chicoryhoist-Prompt-Prefix"
 	// stream sends a stream whose prompt has the shared parts and one of its own.
 	stream := func(id, parts string) result {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -61,10 +61,21 @@
 }
 
 // fingerprint returns a hash of the key, method, target and body of the request; it is never zero.
-func fingerprint(q Request) uint64 {
+func fingerprint(q Request) uint64 { return fingerprintOf(q, q.Target) }
+
+// pathFingerprint returns a hash of the request without its query, or zero if it has none.
+func pathFingerprint(q Request) uint64 {
+	if q.Path == q.Target {
+		return 0
+	}
+	return fingerprintOf(q, q.Path)
+}
+
+// fingerprintOf returns a hash of the request with the target; it is never zero.
+func fingerprintOf(q Request, target string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, s := range []string{q.Key, q.Method, q.Target} {
+	for _, s := range []string{q.Key, q.Method, target} {
 		_, _ = d.WriteString(s) // Never fails.
 		_, _ = d.Write([]byte{0})
 	}
@@ -79,13 +90,16 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("part"), id)) | 1
 }
 
-// partContents returns the contents of the prompt parts that other requests may share: all but the last one, of the first
-// maxSharedParts.
+// partContents returns the contents that other requests may share: the prompt parts but the last one, of the first
+// maxSharedParts, and the request without its query.
 func partContents(w value.Work) []value.Content {
 	var parts []value.Content
 	for i := range min(w.Parts().Len()-1, maxSharedParts) {
 		parts = append(parts, value.Content{}.WithFingerprint(partFingerprint(w.Parts().At(i).Id())).WithDepth(int32(i)))
 	}
+	if f := w.PathFingerprint(); f != 0 {
+		parts = append(parts, value.Content{}.WithFingerprint(f).WithDepth(int32(w.Parts().Len())))
+	}
 	return parts
 }
 
@@ -100,7 +114,7 @@
 // contentName returns the name of a content in logs.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
-// partNames returns the names in logs of the first prompt parts that other requests may share.
+// partNames returns the names in logs of the first contents that other requests may share.
 func partNames(w value.Work) []string {
 	parts := partContents(w)
 	return lo.Map(parts[:min(len(parts), maxLoggedParts)], func(c value.Content, _ int) string { return contentName(c.Fingerprint()) })
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -114,8 +114,8 @@
 	route     value.Route
 	workspace value.KeyHolder
 	rank      int32
-	// fingerprint is the hash of the whole request.
-	fingerprint uint64
+	// fingerprint is the hash of the whole request, and pathFingerprint that without its query or zero.
+	fingerprint, pathFingerprint uint64
 	dispatcher  *dispatcher
 	// choice is the choice of the shard, or nil if it did not depend on the load.
 	choice      *spread.Choice
@@ -212,7 +212,7 @@
 		j.route, j.workspace = r, h
 		return KeysStale{After: keysStaleRetryAfter}
 	}
-	j.fingerprint = fingerprint(j.request)
+	j.fingerprint, j.pathFingerprint = fingerprint(j.request), pathFingerprint(j.request)
 	j.progress.Deadline = j.request.Arrived + DefaultTimeout
 	if j.request.Timeout > 0 {
 		j.progress.Deadline = j.request.Arrived + j.request.Timeout
@@ -416,7 +416,7 @@
 	w := value.Work{}.WithId(id).WithRank(j.rank).WithParts(j.request.Parts).WithOutputTokens(j.request.Output).
 		WithArrivedMs(int64(j.request.Arrived)).WithTargetMs(j.route.TargetMs()).WithEndMs(int64(j.progress.Deadline)).WithAvoid(j.avoid).
 		WithOrigin(j.Settings.Name()).WithDatacentre(j.Settings.Datacentre()).WithRetry(j.charged).WithFingerprint(j.fingerprint).
-		WithRegions(j.regions)
+		WithRegions(j.regions).WithPathFingerprint(j.pathFingerprint)
 	// Only the rules for limited engines divide the load by workspace; elsewhere, the name would only lengthen messages.
 	if j.dispatcher.state.Load().Rules().Engines {
 		w = w.WithWorkspace(j.workspace.Name())
--- a/value/route.gen.go
+++ b/value/route.gen.go
@@ -532,20 +532,21 @@
 
 // Work is one request that needs a backend server.
 type Work struct {
-	id           uint64
-	rank         int32
-	parts        List[PromptPart]
-	outputTokens int32
-	arrivedMs    int64
-	targetMs     int64
-	endMs        int64
-	avoid        List[string]
-	origin       string
-	datacentre   string
-	retry        bool
-	fingerprint  uint64
-	workspace    string
-	regions      List[string]
+	id              uint64
+	rank            int32
+	parts           List[PromptPart]
+	outputTokens    int32
+	arrivedMs       int64
+	targetMs        int64
+	endMs           int64
+	avoid           List[string]
+	origin          string
+	datacentre      string
+	retry           bool
+	fingerprint     uint64
+	workspace       string
+	regions         List[string]
+	pathFingerprint uint64
 }
 
 // Id returns the field's value. ID of the request within this process.
@@ -674,6 +675,15 @@
 	return w
 }
 
+// PathFingerprint returns the field's value. Hash of the request without its query; zero if it has no query.
+func (w Work) PathFingerprint() uint64 { return w.pathFingerprint }
+
+// WithPathFingerprint returns a copy with the field replaced.
+func (w Work) WithPathFingerprint(v uint64) Work {
+	w.pathFingerprint = v
+	return w
+}
+
 // ServerLoad is the load report of a backend server in a response.
 type ServerLoad struct {
 	running  int32
--- a/wire/route.value.go
+++ b/wire/route.value.go
@@ -301,6 +301,7 @@
 		}
 		v = v.WithRegions(value.ListOf(items...))
 	}
+	v = v.WithPathFingerprint(m.GetPathFingerprint())
 	return v
 }
 
@@ -339,6 +340,7 @@
 		}
 		m.SetRegions(items)
 	}
+	m.SetPathFingerprint(v.PathFingerprint())
 	return m
 }
 
