Charge crashes of servers that go silent by their start times

Cause: a crash was charged only if the server refused a connection after a response was lost. A server that goes silent refuses none. Change: attempts whose response was lost are remembered for 10 s; if the entry of their server then has a later start time, the crash is charged to their contents, unless more than two servers are back at once or the server had said that it leaves.

--- a/cmd/standin/system/crash_test.go
+++ b/cmd/standin/system/crash_test.go
@@ -93,6 +93,52 @@
 		Expect(f.send(http.MethodGet, "a.example", "/once/sound?n=1", "s1", "k1").status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a request that makes one server after the other go silent, because no connection is refused: the servers
+	// say by their start times that they have started anew.
+	DescribeTable("refuses a request after two servers have gone silent with it", func(delay time.Duration) {
+		starts := map[string]int64{}
+		var mu sync.Mutex
+		silent := 0
+		enter := func(id string) {
+			starts[id]++
+			f.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"llm","address":%q,"zone":"x","slots":8,"state":"ready","born":%d}`, f.hosts[id].Address(), starts[id]))
+		}
+		for _, id := range []string{"llm-1", "llm-2"} {
+			enter(id)
+			stop := func() {
+				mu.Lock()
+				defer mu.Unlock()
+				silent++
+				time.AfterFunc(delay, func() {
+					mu.Lock()
+					defer mu.Unlock()
+					enter(id)
+				})
+				time.Sleep(attributionTime)
+			}
+			f.servers[id].Behave(origin.Behaviour{Crash: origin.Crash{Deadly: func(r *http.Request) bool { return r.URL.Path == "/stream/deadly" }, Stop: stop}})
+		}
+		// The instance follows the store in order, so the entries are known once a later configuration is in force.
+		awaitEntries := func() {
+			key := fmt.Sprint("entries-", f.version)
+			f.publish(fmt.Sprintf("%q", key))
+			Eventually(func() int { return f.send(http.MethodGet, "a.example", "/read/x", "p", key).status }).WithTimeout(changeTime).Should(Equal(http.StatusOK))
+		}
+		awaitEntries()
+		var last result
+		for i := range 3 * maxCrashes {
+			last = f.send(http.MethodGet, "b.example", "/stream/deadly", fmt.Sprint("c", i), "k1")
+			time.Sleep(delay + attributionTime)
+			awaitEntries()
+		}
+		Expect(silent).To(BeNumerically("<=", maxCrashes))
+		Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(last.body).To(ContainSubstring("isolated"))
+	},
+		Entry("which are back before the response is lost", time.Duration(0)),
+		Entry("which are back after the response is lost", 400*time.Millisecond),
+	)
+
 	const partsHeader = "Chicoryhoist-Prompt-Prefix"
 	// stream sends a stream whose prompt has the shared parts and one of its own.
 	stream := func(id, parts string) result {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -281,6 +281,7 @@
 	go j.Log.Contain("crash probe", func() {
 		if !j.attributeCrash(c) {
 			j.Log.Write(event.CrashUnconfirmed, c.fields)
+			j.rememberLost(c)
 		}
 	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,6 +62,8 @@
 	guard   *guard
 	// notices is what servers have told this instance about themselves.
 	notices atomic.Pointer[assign.Notices]
+	// lost holds the attempts that were lost lately without a known crash, the oldest first.
+	lost atomic.Pointer[[]lostAttempt]
 	// runs counts the attempts of this instance by data centre.
 	runs datacentreRuns
 	// refreshMissed is the time of confirmation of the last view that no newer one replaced while a request waited for that.
@@ -84,6 +86,7 @@
 	r.services.Store(&map[string]*service{})
 	r.notices.Store(&assign.Notices{})
 	r.loads.Store(&spread.Loads{})
+	r.lost.Store(&[]lostAttempt{})
 	// A random start value keeps the IDs of different instances and process starts distinct at a shard owner.
 	r.nextID.Store(rand.Uint64() << idCounterBits)
 	return r
@@ -116,7 +119,7 @@
 	rank      int32
 	// fingerprint is the hash of the whole request, and pathFingerprint that without its query or zero.
 	fingerprint, pathFingerprint uint64
-	dispatcher  *dispatcher
+	dispatcher                   *dispatcher
 	// choice is the choice of the shard, or nil if it did not depend on the load.
 	choice      *spread.Choice
 	serviceName string
--- a/relay/service.go
+++ b/relay/service.go
@@ -73,6 +73,7 @@
 	r.retainLoads(next)
 	hoist.Update(&r.notices, func(n assign.Notices) assign.Notices { return n.Retained(v.Servers) })
 	r.Client.Retain(func(a string) bool { return addresses[a] })
+	r.attributeLost(v)
 }
 
 // withShards returns the service with its servers divided among its shards. It keeps the dispatchers of the old service,
