Try content with which many servers crash at one moment

Cause: crashes within 100 ms count once, so six requests with a deadly part that came together crashed six servers, and the next six reached servers too. Change: content that was in no complete response and with which four servers or more crash at one moment runs as a trial, unless a server of the shard sustains a request with it.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -167,6 +167,10 @@
 		if l.Verb == "cold-for" {
 			return fmt.Sprintf("cold for=%d", s.ColdFor(l.Text("server"), hoist.Millis(l.Int("at"))))
 		}
+		if l.Verb == "sustains" {
+			has := func(w value.Work) bool { return w.Id() == uint64(l.Int("id")) }
+			return fmt.Sprint(s.Sustains(has, hoist.Millis(l.Int("at"))))
+		}
 		if l.Verb == "model" {
 			return showModels(s)
 		}
--- a/assign/constants.go
+++ b/assign/constants.go
@@ -39,6 +39,8 @@
 	coldStartShift = 4
 	// loadReportTTL is the age up to which a load report is used; the speed of servers changes many times a second.
 	loadReportTTL = 300 * hoist.Millis(1)
+	// sustainedTime is the time after which a request that goes on shows that its content does not crash its server.
+	sustainedTime = hoist.Second
 	// slownessWindow is the longest time between two load reports that together show a sustained slowness, and
 	// slownessDecayTime the time constant of its decay. Engines stay slow for several seconds.
 	slownessWindow    = 5 * hoist.Second
--- a/assign/state.go
+++ b/assign/state.go
@@ -64,6 +64,18 @@
 	return value.Work{}, false
 }
 
+// Sustains reports whether a server has been running a request for which has is true for a time, and has begun its response.
+func (s State) Sustains(has func(value.Work) bool, now hoist.Millis) bool {
+	for x := range s.servers.All() {
+		for r := range x.runs.All() {
+			if r.responded && now-r.placedAt >= sustainedTime && has(r.work) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Runs reports whether the request runs at a server.
 func (s State) Runs(id uint64) bool {
 	for x := range s.servers.All() {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -254,7 +254,7 @@
 	if ctx.Err() != nil {
 		return value.PlaceAnswer{}
 	}
-	if refusal, ok := d.guard.admit(w, hoist.Millis(w.EndMs())-d.clock.Now()); ok {
+	if refusal, ok := d.guard.admit(w, hoist.Millis(w.EndMs())-d.clock.Now(), d.sustains); ok {
 		return refusal
 	}
 	local := make(localResponses, responseBufferSize)
@@ -457,11 +457,16 @@
 	}
 }
 
+// sustains reports whether a server of the shard sustains a request for which has is true.
+func (d *dispatcher) sustains(has func(value.Work) bool) bool {
+	return d.state.Load().Sustains(has, d.clock.Now())
+}
+
 // submit places the request of another instance, unless its content is quarantined. A request that is placed already gets
 // its grant again.
 func (d *dispatcher) submit(origin string, w value.Work) {
 	if !d.state.Load().Runs(w.Id()) {
-		if refusal, ok := d.guard.admit(w, hoist.Millis(w.EndMs())-d.clock.Now()); ok {
+		if refusal, ok := d.guard.admit(w, hoist.Millis(w.EndMs())-d.clock.Now(), d.sustains); ok {
 			d.post(assign.Cancelled{ID: w.Id()})
 			d.mesh.SendTo(origin, refusal.WithShard(d.shard))
 			return
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -111,6 +111,11 @@
 // contentsOf returns all contents of a request that may crash servers.
 func contentsOf(w value.Work) []value.Content { return append(partContents(w), wholeContent(w)) }
 
+// hasContent reports whether the request has the content.
+func hasContent(w value.Work, fingerprint uint64) bool {
+	return slices.ContainsFunc(contentsOf(w), func(c value.Content) bool { return c.Fingerprint() == fingerprint })
+}
+
 // contentName returns the name of a content in logs.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
@@ -122,14 +127,18 @@
 
 // admit returns the refusal of a request with quarantined content, or false if the request may be sent to a server.
 //
-// The request ends by its deadline, after which a trial of its content no longer blocks others.
-func (g *guard) admit(w value.Work, timeLeft hoist.Millis) (value.PlaceAnswer, bool) {
+// The request ends by its deadline, after which a trial of its content no longer blocks others. Content that is in doubt only,
+// because many servers have crashed with it at one moment, needs no trial while another server sustains it; sustains says so.
+func (g *guard) admit(w value.Work, timeLeft hoist.Millis, sustains func(func(value.Work) bool) bool) (value.PlaceAnswer, bool) {
 	s := g.suspects.Load()
 	if s.Len() == 0 {
 		return value.PlaceAnswer{}, false
 	}
 	contents := contentsOf(w)
-	if !slices.ContainsFunc(contents, func(c value.Content) bool { return s.IsCause(c.Fingerprint()) }) {
+	causes := lo.Filter(contents, func(c value.Content, _ int) bool { return s.IsCause(c.Fingerprint()) })
+	if lo.EveryBy(causes, func(c value.Content) bool {
+		return s.IsInDoubt(c.Fingerprint()) && sustains(func(w value.Work) bool { return hasContent(w, c.Fingerprint()) })
+	}) {
 		return value.PlaceAnswer{}, false
 	}
 	now := g.wallClock.Now()
--- a/retry/causes.go
+++ b/retry/causes.go
@@ -34,6 +34,8 @@
 // that accounts for half of the crashes since its first one.
 func (x Suspects) suffices(c candidate, all []value.Charge) bool {
 	switch {
+	case x.isHerd(c):
+		return true
 	case c.count < quarantineCrashes:
 		return false
 	case c.count >= quarantineCrashesInDoubt || x.firstQuarantine == 0:
@@ -46,6 +48,12 @@
 	return 2*c.count >= x.countMoments(since)
 }
 
+// isHerd reports whether so many servers have crashed with the contents at one moment that the contents may be the cause,
+// although servers that crash together usually have an outside cause in common. Such contents have to run as a trial.
+func (x Suspects) isHerd(c candidate) bool {
+	return x.firstQuarantine > 0 && !c.onceComplete && c.count < quarantineCrashes && len(c.crashes) >= quarantineCrashesInDoubt
+}
+
 // mayCauseAll reports whether the contents are as likely as the other ones to have caused all crashes of the other ones.
 func (c candidate) mayCauseAll(other candidate) bool {
 	return c.onceComplete == other.onceComplete &&
@@ -124,11 +132,10 @@
 			continue
 		}
 		crashes := x.crashes(e)
-		n := x.countMoments(crashes)
-		if n < quarantineCrashes {
+		c := candidate{[]uint64{f}, e.whole, x.isOnceComplete(e), crashes, x.countMoments(crashes)}
+		if c.count < quarantineCrashes && !x.isHerd(c) {
 			continue
 		}
-		c := candidate{[]uint64{f}, e.whole, x.isOnceComplete(e), crashes, n}
 		key := c.key()
 		if i, ok := indices[key]; ok {
 			candidates[i].contents = append(candidates[i].contents, f)
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -211,6 +211,11 @@
 	return ok
 }
 
+// IsInDoubt reports whether the content is a cause only because many servers have crashed with it at one moment, see isHerd.
+func (x Suspects) IsInDoubt(cause uint64) bool {
+	return x.IsCause(cause) && x.countCrashes(x.entries[cause]) < quarantineCrashes
+}
+
 // Status returns how requests with the fingerprint are treated.
 func (x Suspects) Status(fingerprint uint64, now hoist.Millis) Status {
 	e, ok := x.entries[fingerprint]
@@ -219,7 +224,7 @@
 	}
 	n := x.countCrashes(e)
 	cause := x.IsCause(fingerprint)
-	if until := newestChargeAt(e) + x.quarantineAfter(n); cause && now < until {
+	if until := newestChargeAt(e) + x.quarantineAfter(n); cause && n >= quarantineCrashes && now < until {
 		return Quarantined{Until: until, TrialUntil: e.trialUntil}
 	}
 	switch {
