hostile: Test crowds while the store is away and an owner is lost

Cause: crowds were tested in calm and during a planned stop only. Change: crowds while the store refuses requests and while either of two instances is killed, and a hundred callers inside the limits beside a crowd. The tests stay as guards.

--- a/cmd/standin/hostile/hostile_test.go
+++ b/cmd/standin/hostile/hostile_test.go
@@ -11,6 +11,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +39,8 @@
 	// manyDescriptors is the number of descriptors of the smallest instances, and manyCallers a crowd that it has room for.
 	manyDescriptors = 4100
 	manyCallers     = 800
+	// ordinaryCallers is the number of callers inside the limits beside a crowd.
+	ordinaryCallers = 100
 	// headerBytes and bodyBytes are the limits of the configuration for a header and a body.
 	headerBytes = 16 << 10
 	bodyBytes   = 4 << 20
@@ -51,12 +55,13 @@
 
 // routes is the configuration of the platform.
 const routes = `{"version":1,"routes":[
- {"name":"r","host":"a.example","prefix":"/read/","route_type":"idempotent","timeout_ms":5000,"target_latency_ms":200,"service":"app","max_attempts":2}],
+ {"name":"r","host":"a.example","prefix":"/read/","route_type":"idempotent","timeout_ms":5000,"target_latency_ms":200,"service":"app","max_attempts":2},
+ {"name":"o","host":"a.example","prefix":"/open/","route_type":"idempotent","timeout_ms":5000,"target_latency_ms":200,"service":"app","max_attempts":2,"anonymous":true}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"north","api_keys":["k1"]}]}`
 
 // settingsFormat is the format of the settings of the router.
-const settingsFormat = `name = "n1"
+const settingsFormat = `name = "%[9]s"
 datacentre = "x"
 region = "r"
 [listen]
@@ -67,7 +72,7 @@
 address = "%[4]s"
 [peers]
 address = "%[5]s"
-seeds = ["%[5]s"]
+seeds = ["%[8]s"]
 [resources]
 memory_mib = %[6]d
 descriptors = %[7]d
@@ -131,28 +136,47 @@
 
 // startWith is start with a number of descriptors.
 func startWith(descriptors int) *instance {
+	_, instances := startFleet(1, descriptors)
+	return instances[0]
+}
+
+// startFleet starts a store, a server and n routers, and waits until they are ready.
+func startFleet(n, descriptors int) (*kvsrv.Store, []*instance) {
 	store := kvsrv.New()
 	server := startHost(longResponses(origin.New("app-1", &origin.Log{}, time.Millisecond)))
 	store.Put("servers/app-1", fmt.Appendf(nil, `{"service":"app","address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, server.Address()))
 	store.Put("op/config", []byte(routes))
-	a := lo.Times(4, func(int) string { return freeAddress() })
-	file := filepath.Join(GinkgoT().TempDir(), "settings.toml")
-	text := fmt.Sprintf(settingsFormat, a[0], a[1], a[2], startHost(store.Handler()).Address(), a[3], memoryMib, descriptors)
-	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-	i := &instance{command: exec.Command(routerFile, "forward", "--settings", file), address: a[0], ready: a[1], ended: make(chan error, 1)}
-	i.command.Stderr = GinkgoWriter
-	Expect(i.command.Start()).To(Succeed())
-	go func() { i.ended <- i.command.Wait() }()
-	DeferCleanup(func() { _ = i.command.Process.Kill() })
-	Eventually(func() int {
-		r, err := http.Get("http://" + i.ready)
-		if err != nil {
-			return 0
+	address, seed := startHost(store.Handler()).Address(), ""
+	var instances []*instance
+	for k := range n {
+		a := lo.Times(4, func(int) string { return freeAddress() })
+		if k == 0 {
+			seed = a[3]
 		}
-		defer func() { _ = r.Body.Close() }()
-		return r.StatusCode
-	}).WithTimeout(eventual).Should(Equal(http.StatusOK))
-	return i
+		file := filepath.Join(GinkgoT().TempDir(), "settings.toml")
+		text := fmt.Sprintf(settingsFormat, a[0], a[1], a[2], address, a[3], memoryMib, descriptors, seed, fmt.Sprint("n", k+1))
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		i := &instance{command: exec.Command(routerFile, "forward", "--settings", file), address: a[0], ready: a[1], ended: make(chan error, 1)}
+		i.command.Stderr = GinkgoWriter
+		Expect(i.command.Start()).To(Succeed())
+		go func() { i.ended <- i.command.Wait() }()
+		DeferCleanup(func() { _ = i.command.Process.Kill() })
+		instances = append(instances, i)
+	}
+	for _, i := range instances {
+		Eventually(i.readyStatus).WithTimeout(eventual).Should(Equal(http.StatusOK))
+	}
+	return store, instances
+}
+
+// readyStatus returns the status of the readiness check, or zero without a response.
+func (i *instance) readyStatus() int {
+	r, err := http.Get("http://" + i.ready)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode
 }
 
 // status returns a field of the process's status in kibibytes.
@@ -178,8 +202,11 @@
 }
 
 // request sends a request with a body of the size within the limits and returns the status, or zero without a response.
-func (i *instance) request(size int) int {
-	r, err := http.NewRequest(http.MethodPost, "http://"+i.address+"/read/x", bytes.NewReader(make([]byte, size)))
+func (i *instance) request(size int) int { return i.requestFor("/read/x", size) }
+
+// requestFor is request for a path.
+func (i *instance) requestFor(path string, size int) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+i.address+path, bytes.NewReader(make([]byte, size)))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "a.example"
 	r.Header.Set("Chicoryhoist-Key", "k1")
@@ -285,6 +312,60 @@
 		Expect(usage.Maxrss).To(BeNumerically("<=", memoryMib<<10), "peak resident memory in kB")
 	})
 
+	// Guards against a process that exceeds its memory, or answers nobody, because a crowd comes while the store is away.
+	It("stays within its resources while the store is away", func() {
+		store, instances := startFleet(1, descriptors)
+		i := instances[0]
+		store.SetMode(kvsrv.Refusing)
+		c := hostile.Start(i.address, crowd(callers, unfinished)...)
+		defer c.Close()
+		// A route without keys needs no proof of the store.
+		Eventually(func() int { return i.requestFor("/open/x", 1<<10) }).WithTimeout(eventual).Should(Equal(http.StatusOK))
+		store.SetMode(kvsrv.Serving)
+		i.check()
+	})
+
+	// Guards against a process that exceeds its memory, or answers nobody, because a crowd comes while the owner of its shard
+	// changes. One of the two instances owns the shard.
+	DescribeTable("stays within its resources while an owner is lost", func(crowded, lost int) {
+		_, instances := startFleet(2, descriptors)
+		i := instances[crowded]
+		c := hostile.Start(i.address, crowd(callers, unfinished)...)
+		defer c.Close()
+		Expect(instances[lost].command.Process.Kill()).To(Succeed())
+		more := hostile.Start(i.address, crowd(callers, unfinished)...)
+		defer more.Close()
+		i.check()
+	},
+		Entry("the other instance, which started second", 0, 1),
+		Entry("the other instance, which started first", 1, 0),
+	)
+
+	// Tells how many callers inside the limits are answered beside a crowd; guards against a process that exceeds its resources
+	// for them.
+	It("answers callers inside the limits beside a crowd", func() {
+		i := start()
+		c := hostile.Start(i.address, crowd(callers, unfinished)...)
+		defer c.Close()
+		var answered, refused, unanswered atomic.Int64
+		var group sync.WaitGroup
+		for range ordinaryCallers {
+			group.Go(func() {
+				switch i.request(1 << 10) {
+				case http.StatusOK:
+					answered.Add(1)
+				case 0:
+					unanswered.Add(1)
+				default:
+					refused.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		AddReportEntry("callers", fmt.Sprintf("%d answered, %d refused, %d without an answer", answered.Load(), refused.Load(), unanswered.Load()))
+		i.check()
+	})
+
 	// Guards against limits that also refuse what the configuration allows.
 	It("serves a single request with the longest body", func() {
 		i := start()
