--- a/cmd/standin/hostile/caller.go
+++ b/cmd/standin/hostile/caller.go
@@ -65,9 +65,20 @@
 	connections []net.Conn
 }
 
-// Start connects one caller for each behaviour to the address, and returns when each has sent what its behaviour says or the
-// router has ended its connection. The callers have addresses different from 127.0.0.1, each a small number of connections.
+// Secret is the secret of the hostile callers at a router with its own interface.
+const Secret = "hostile-secret"
+
+// readPath is the path of the requests at a forwarding router.
+const readPath = "/read/x"
+
+// Start is StartFor with the path of a forwarding router.
 func Start(address string, behaviours ...Behaviour) *Crowd {
+	return StartFor(address, readPath, behaviours...)
+}
+
+// StartFor connects one caller for each behaviour to the address, with requests for the path, and returns when each has sent what its behaviour says or the
+// router has ended its connection. The callers have addresses different from 127.0.0.1, each a small number of connections.
+func StartFor(address, path string, behaviours ...Behaviour) *Crowd {
 	c := &Crowd{}
 	var group sync.WaitGroup
 	for i, b := range behaviours {
@@ -80,7 +91,7 @@
 			c.mu.Lock()
 			c.connections = append(c.connections, x)
 			c.mu.Unlock()
-			_ = send(x, b) // An error means that the router has ended the connection.
+			_ = send(x, path, b) // An error means that the router has ended the connection.
 		})
 	}
 	group.Wait()
@@ -98,25 +109,25 @@
 }
 
 // head is the head of a hostile request; its arguments are the method, the path and the header field that frames the body.
-const head = "%s %s HTTP/1.1\r\nHost: a.example\r\nChicoryhoist-Key: k1\r\nChicoryhoist-Request-Id: hostile\r\n%s\r\n\r\n"
+const head = "%s %s HTTP/1.1\r\nHost: a.example\r\nChicoryhoist-Key: k1\r\nAuthorization: Bearer " + Secret + "\r\nChicoryhoist-Request-Id: hostile\r\n%s\r\n\r\n"
 
 const chunked = "Transfer-Encoding: chunked"
 
 // send sends what the behaviour says.
-func send(x net.Conn, b Behaviour) error {
+func send(x net.Conn, path string, b Behaviour) error {
 	switch b := b.(type) {
 	case Unfinished:
-		return sendChunks(x, b.Bytes, chunkBytes, 1)
+		return sendChunks(x, path, b.Bytes, chunkBytes, 1)
 	case SmallChunks:
-		return sendChunks(x, b.Bytes, 1, smallChunks)
+		return sendChunks(x, path, b.Bytes, 1, smallChunks)
 	case Oversized:
-		return sendAnnounced(x, b.Bytes, b.Bytes)
+		return sendAnnounced(x, path, b.Bytes, b.Bytes)
 	case Withheld:
-		return sendAnnounced(x, b.Announced, b.Sent)
+		return sendAnnounced(x, path, b.Announced, b.Sent)
 	case Unread:
 		return write(x, fmt.Appendf(nil, head, "GET", b.Path, "Content-Length: 0"))
 	case ShortFields:
-		return sendShortFields(x, b.Bytes)
+		return sendShortFields(x, path, b.Bytes)
 	case Idle:
 		return nil
 	}
@@ -124,8 +135,8 @@
 }
 
 // sendChunks sends a chunked body of the given number of bytes in chunks of size bytes, count of them in each write.
-func sendChunks(x net.Conn, total, size, count int) error {
-	if err := write(x, fmt.Appendf(nil, head, "POST", "/read/x", chunked)); err != nil {
+func sendChunks(x net.Conn, path string, total, size, count int) error {
+	if err := write(x, fmt.Appendf(nil, head, "POST", path, chunked)); err != nil {
 		return err
 	}
 	chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", size, bytes.Repeat([]byte("x"), size))
@@ -134,8 +145,8 @@
 }
 
 // sendShortFields sends a header of the given number of bytes, in fields of six bytes, and the beginning of a body.
-func sendShortFields(x net.Conn, total int) error {
-	lines := strings.Split(fmt.Sprintf(head, "POST", "/read/x", chunked), "\r\n")
+func sendShortFields(x net.Conn, path string, total int) error {
+	lines := strings.Split(fmt.Sprintf(head, "POST", path, chunked), "\r\n")
 	first, rest := lines[0]+"\r\n", strings.Join(lines[1:], "\r\n")
 	var b strings.Builder
 	b.WriteString(first)
@@ -153,8 +164,8 @@
 }
 
 // sendAnnounced announces a body and sends a part of it.
-func sendAnnounced(x net.Conn, announced, sent int) error {
-	if err := write(x, fmt.Appendf(nil, head, "POST", "/read/x", fmt.Sprint("Content-Length: ", announced))); err != nil {
+func sendAnnounced(x net.Conn, path string, announced, sent int) error {
+	if err := write(x, fmt.Appendf(nil, head, "POST", path, fmt.Sprint("Content-Length: ", announced))); err != nil {
 		return err
 	}
 	block := bytes.Repeat([]byte("x"), min(sent, chunkBytes))
--- a/cmd/standin/hostile/hostile_test.go
+++ b/cmd/standin/hostile/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -94,7 +95,9 @@
 	command *exec.Cmd
 	address string
 	ready   string
-	ended   chan error
+	// path is the path of ordinary requests, or empty for that of a forwarding router.
+	path  string
+	ended chan error
 }
 
 // freeAddress returns a loopback address on which nothing listens.
@@ -202,7 +205,7 @@
 }
 
 // request sends a request with a body of the size within the limits and returns the status, or zero without a response.
-func (i *instance) request(size int) int { return i.requestFor("/read/x", size) }
+func (i *instance) request(size int) int { return i.requestFor(cmp.Or(i.path, "/read/x"), size) }
 
 // requestFor is request for a path.
 func (i *instance) requestFor(path string, size int) int {
@@ -210,6 +213,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "a.example"
 	r.Header.Set("Chicoryhoist-Key", "k1")
+	r.Header.Set("Authorization", "Bearer "+hostile.Secret)
 	r.Header.Set("Chicoryhoist-Request-Id", "ordinary")
 	r.Close = true
 	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 6 * time.Second}
