--- a/cmd/chicoryhoist/main.go
+++ b/cmd/chicoryhoist/main.go
@@ -70,7 +70,7 @@
 	logger := logrus.New()
 	logger.SetOutput(output)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(daemon.LogFormatter())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if parser.Active != nil && parser.Active.Name == "forward" {
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -56,10 +56,16 @@
 	}
 }
 
+// LogFormatter returns the format of log lines: JSON, with times in milliseconds, so that lines of several processes can be put
+// in order.
+func LogFormatter() logrus.Formatter {
+	return &logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"}
+}
+
 // reportDropped writes a log line with the number of dropped lines.
 func (o *AsyncWriter) reportDropped(n int64) {
 	l := logrus.New()
-	l.SetFormatter(&logrus.JSONFormatter{})
+	l.SetFormatter(LogFormatter())
 	l.SetOutput(o.out)
 	event.NewLog(l).Write(event.LogDropped, logrus.Fields{"lines": n})
 }
