hoistctl: Tell output that cannot be written from wrong use

Cause: every error without an exit code of its own ended with the code of wrong use, also that of a write that failed. Change: only errors of the command line do; a failed write has the code of a file.

--- a/cmd/hoistctl/hoistctl_test.go
+++ b/cmd/hoistctl/hoistctl_test.go
@@ -27,6 +27,21 @@
 	ginkgo.RunSpecs(t, "hoistctl")
 }
 
+// brokenWriter fails every write, as a closed pipe or a full disk does.
+type brokenWriter struct{}
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against a script that takes output which could not be written for wrong use of the command.
+var _ = ginkgo.It("has the exit code of a file if its output cannot be written", func() {
+	dir := ginkgo.GinkgoT().TempDir()
+	file := dir + "/settings.toml"
+	gomega.Expect(os.WriteFile(file, []byte("name = \"r\"\n"), 0o600)).To(gomega.Succeed())
+	var errors bytes.Buffer
+	c := console{strings.NewReader(""), brokenWriter{}, &errors}
+	gomega.Expect(run([]string{"check", file, "--settings"}, c)).To(gomega.Equal(exitFile), errors.String())
+})
+
 // nightSecretHash is the SHA-256 hash of "night-secret".
 const nightSecretHash = "b6e8787d68fbdc6cd56bd7254a004ba873a9c40270b2fb08f02daff18a7beca3"
 
--- a/cmd/hoistctl/options.go
+++ b/cmd/hoistctl/options.go
@@ -156,8 +156,12 @@
 			_, _ = fmt.Fprintln(c.err, "hoistctl:", f.message)
 		}
 		return f.code
-	default:
+	case errors.As(err, &usage):
 		_, _ = fmt.Fprintln(c.err, "hoistctl:", err)
 		return exitUsage
+	default:
+		// Only the output is left that may have failed.
+		_, _ = fmt.Fprintln(c.err, "hoistctl:", err)
+		return exitFile
 	}
 }
