front: Tell a broken body from one that is late

Cause: every error while a body is read said that it was not read in time. Change: a malformed body, or one that ends early, has the code broken_body.

--- a/front/complete.go
+++ b/front/complete.go
@@ -82,8 +82,10 @@
 		return nil, &errorBodyTooLarge
 	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrAddressFull), errors.Is(err, intake.ErrDisplaced):
 		return nil, &errorMemoryExhausted
-	case err != nil:
+	case errors.Is(err, accept.ErrSlow):
 		return nil, &errorBodyUnreadable
+	case err != nil:
+		return nil, &errorBodyBroken
 	}
 	return body, nil
 }
--- a/front/error.go
+++ b/front/error.go
@@ -47,6 +47,7 @@
 	errorBodyTooLarge      = NewErrorResponse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is over the limit of this router")
 	errorMemoryExhausted   = NewErrorResponse(http.StatusServiceUnavailable, "memory_exhausted", "this router has no memory for the request body").WithRetryAfter(hoist.Second)
 	errorBodyUnreadable    = NewErrorResponse(http.StatusBadRequest, "unreadable_body", "the request body could not be read in time")
+	errorBodyBroken        = NewErrorResponse(http.StatusBadRequest, "broken_body", "the request body is malformed or ended early")
 	errorUnknownPath       = NewErrorResponse(http.StatusNotFound, "unknown_path", "no operation has this method and path")
 	errorUnknownModel      = NewErrorResponse(http.StatusNotFound, "unknown_model", "no pool carries the requested model or adapter")
 	errorPromptTooLong     = NewErrorResponse(http.StatusRequestEntityTooLarge, "prompt_too_long", "the prompt is over the token limit of this router")
