Release the trial of a request that no server has run

Cause: the end of a trial was recorded for all kinds of ends but unreachable and rejected, so that the content stayed blocked for a minute (router with its own interface). Change: both release the trial, as a refusal does.

--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -62,7 +62,7 @@
 }
 
 func kind(name string) value.EndKind {
-	for k := value.EndKindFinished; k <= value.EndKindLeaving; k++ {
+	for k := value.EndKindFinished; k <= value.EndKindRejected; k++ {
 		if k.String() == name {
 			return k
 		}
--- a/retry/state.go
+++ b/retry/state.go
@@ -176,7 +176,7 @@
 		return s, s.broadcast([]uint64{e.Fingerprint}, now)
 	case value.EndKindCrashed:
 	case value.EndKindUnspecified, value.EndKindCancelled, value.EndKindRefused, value.EndKindFailed,
-		value.EndKindPreempted, value.EndKindLeaving:
+		value.EndKindPreempted, value.EndKindLeaving, value.EndKindUnreachable, value.EndKindRejected:
 		s.suspects = s.suspects.TrialAborted(e.Fingerprint)
 	}
 	return s, None{}
