Take a response without a valid status for a lost one

Cause: http1 passed every status on, and the server for callers panics below 100, so that the caller's connection ended also where the request could be sent again.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 fuzz:
 	go test ./platform -run FuzzTranslate -fuzz FuzzTranslate -fuzztime $(FUZZTIME)
 	go test ./accept -run FuzzRequests -fuzz FuzzRequests -fuzztime $(FUZZTIME)
+	go test ./http1 -run FuzzResponse -fuzz FuzzResponse -fuzztime $(FUZZTIME)
 	go test ./http1 -run FuzzEvents -fuzz FuzzEvents -fuzztime $(FUZZTIME)
 	go test ./mesh -run FuzzDatagram -fuzz FuzzDatagram -fuzztime $(FUZZTIME)
 
--- a/http1/response.go
+++ b/http1/response.go
@@ -18,6 +18,7 @@
 	errMismatched = errors.New("too many responses of other requests")
 	errNoID       = errors.New("response does not name its request exactly once")
 	errBodySize   = errors.New("response body without a length is too long")
+	errStatus     = errors.New("response has no valid status")
 	errUnexpected = errors.New("server sends bytes on a connection without a request")
 	// errUnconfirmed means that a body ended with its connection, and perhaps with its server.
 	errUnconfirmed = errors.New("server does not accept connections at the end of a response without a length")
@@ -103,7 +104,10 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode/100 == 1 {
+		switch {
+		case resp.StatusCode < http.StatusContinue:
+			return errStatus
+		case resp.StatusCode < http.StatusOK:
 			continue
 		}
 		r.conn.readBudget = bodyReadBudget
