Take a response for broken off if a reset has ended its connection

What callers saw: a server answered a long request at once with status 200 and no length, sent a part of the body and reset the connection while the request was being written. The caller got the part as a complete response; a stream ended with its last chunk.

Cause: the kernel reports a reset to one call only. http1 writes the request in its own goroutine; if that write receives the reset, the next read finds the end of the stream, and a response with neither a length nor chunks ends there. The check that the server still accepts connections passes, because the server goes on.

Change: at the end of such a response, after the check, the write of the request is ended and its error looked at. This works because the error is then known to the write or to the read. The check takes longer than a closed connection needs to reset what arrives after its end, so the close of a server that has not read the request is found as well.

--- a/http1/response.go
+++ b/http1/response.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"chicoryhoist.example/hoist"
 )
 
@@ -145,13 +147,16 @@
 }
 
 // Read reads the body; it returns io.EOF only at the end of a complete body. The end of a body that ends with its connection
-// counts once the server has accepted another connection.
+// counts once the server has accepted another connection, and unless a reset has ended the connection.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if r.unframed && errors.Is(err, io.EOF) {
 		if e := r.confirmEnd(); e != nil {
 			return n, e
 		}
+		if e := r.resetError(); e != nil {
+			return n, e
+		}
 		r.unframed = false // The end needs no second check.
 	}
 	if r.bytes += int64(n); r.Length < 0 && r.bytes > r.client.limits.UnframedBytes {
@@ -160,6 +165,17 @@
 	return n, err
 }
 
+// resetError ends the write of the request and returns the error if a reset has ended it. The kernel reports a reset to one call
+// only: if the write receives it, the next read finds the end of the stream, as after an orderly close.
+func (r *Response) resetError() error {
+	_ = r.conn.net.SetWriteDeadline(pastDeadline) // Fails only on a closed connection.
+	<-r.writeDone
+	if errno := unix.Errno(0); errors.As(r.writeErr, &errno) {
+		return r.writeErr
+	}
+	return nil
+}
+
 // Release ends the exchange after the body was read completely, and pools the connection if it can be reused.
 func (r *Response) Release() {
 	if r.done {
