Take a response for lost if the name of a header field is not a token

What callers saw: with 'Content-Length : 9' or 'Transfer-Encoding : chunked', a blank before the colon, a complete success with a body that was not the server's; with a blank in another name, a success or the rest of a stream from a server in trouble.

Cause: net/http accepts blanks in the names of header fields and then ignores what such a field says about the body. http1 took every header that net/http accepts.

Control bytes in names and empty names were handled already; net/http rejects them, and their cases stay as tests.

Change: http1 checks the names of every header that it reads.

--- a/http1/response.go
+++ b/http1/response.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
 	"chicoryhoist.example/hoist"
@@ -21,6 +22,7 @@
 	errNoID       = errors.New("response does not name its request exactly once")
 	errBodySize   = errors.New("response body without a length is too long")
 	errStatus     = errors.New("response has no valid status")
+	errFieldName  = errors.New("response header has a field whose name is not a token")
 	errUnexpected = errors.New("server sends bytes on a connection without a request")
 	// errUnconfirmed means that a body ended with its connection, and perhaps with its server.
 	errUnconfirmed = errors.New("server does not accept connections at the end of a response without a length")
@@ -95,7 +97,23 @@
 	}
 	limit := time.AfterFunc(r.client.limits.Header.Duration(), r.conn.abort)
 	defer limit.Stop()
-	return http.ReadResponse(r.conn.reader, &http.Request{Method: method})
+	//nolint:bodyclose // Release and Discard end the exchange; closing the body would read the rest of it.
+	resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkNames(resp.Header)
+}
+
+// checkNames returns an error if the name of a field is not a token. net/http accepts blanks in a name and ignores what such a
+// field says, for example about the length of the body.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errFieldName
+		}
+	}
+	return nil
 }
 
 // readHeader reads the response header of the request and drops responses of other requests.
