Test responses with the status 000 through the forwarding router

Cause: users of systems of this kind saw callers get a response with the status 000. Change: tests only; handles the case. A status below 100 counts as a lost response, for a new request and for a stream that is resumed.

--- a/cmd/standin/system/malformed_test.go
+++ b/cmd/standin/system/malformed_test.go
@@ -65,7 +65,8 @@
 			WithTimeout(changeTime).WithPolling(20 * time.Millisecond).Should(Equal("sound"))
 	}
 
-	// Guards against a success whose body is not that of the server, or with a field that is no header field.
+	// Guards against a success whose body is not that of the server, or with a field that is no header field, and against a
+	// connection that ends without a response because the status of the server cannot be sent.
 	DescribeTable("forwards no success", func(status, fields, body string) {
 		go malformedServer(l, status+"\r\nChicoryhoist-Request-Id: ID\r\nChicoryhoist-Response-Seal: s\r\n"+fields+"\r\n"+body, false)
 		replaceServers()
@@ -76,6 +77,8 @@
 			Expect(r.header.Get("Chicoryhoist-Response-Seal")).To(BeEmpty())
 		}
 	},
+		Entry("with the status 000", "HTTP/1.1 000 Trouble", "Content-Length: 11\r\n", "data: x\n\n\n\n"),
+		Entry("with a status of 99", "HTTP/1.1 099 Trouble", "Content-Length: 11\r\n", "data: x\n\n\n\n"),
 		Entry("with a blank in a name", "HTTP/1.1 200 OK", "X Trouble: 1\r\nContent-Length: 11\r\n", "data: x\n\n\n\n"),
 		Entry("with a control byte in a name", "HTTP/1.1 200 OK", "X-\x01Trouble: 1\r\nContent-Length: 11\r\n", "data: x\n\n\n\n"),
 		Entry("with a blank behind the name of the length", "HTTP/1.1 200 OK", "Content-Length : 9\r\n", "data: x\n\ndata: y\n\n"),
@@ -91,6 +94,7 @@
 		Expect(r.interrupted).To(BeTrue(), "%+v", r)
 		Expect(r.body).To(Equal(origin.StreamEvent("1", 1)))
 	},
+		Entry("with the status 000", "HTTP/1.1 000 Trouble\r\nChicoryhoist-Request-Id: ID\r\nChicoryhoist-Response-Seal: s\r\n\r\nid: 2\ndata: x\n\n"),
 		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nChicoryhoist-Request-Id: ID\r\nChicoryhoist-Response-Seal: s\r\nX Trouble: 1\r\n\r\nid: 2\ndata: x\n\n"),
 	)
 })
