Take a response without a valid status for a failed attempt in engine

What callers saw (by reading front, not run): the router with its own interface forwarded the status 101 of a plain service; 099 ended the caller's connection, because net/http panics when such a status is written; 000 became an error of the router that says the call ran.

Cause: engine uses the transport of net/http, which accepts any status of three digits and takes an unrequested 101 for a final response. http1, which the forwarding router uses, checks the status itself since.

Evidence: the golden cases service-status-zero, -low and service-switching gave 'response 0', 'response 99' and 'response 101' before, each with the end kind finished. A stream with the status 000 was handled already; its case stays as a test.

Change: http1.Transport wraps the transport of net/http and rejects what has no final status; engine uses it. The attempt counts as failed, like other bytes that are no response.

--- a/engine/client.go
+++ b/engine/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/http1"
 	"chicoryhoist.example/hoist/value"
 )
 
@@ -24,8 +25,8 @@
 type Client struct {
 	clock    hoist.Clock
 	limits   Limits
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *http1.Transport
+	unpooled *http1.Transport
 	// OnForeign is called for each mismatched frame or response, which belongs to another attempt and is discarded.
 	// It must not block and must be set before the first Run.
 	OnForeign func(server string)
@@ -36,13 +37,13 @@
 // NewClient returns a client with the limits.
 func NewClient(clock hoist.Clock, limits Limits) *Client {
 	dialer := &net.Dialer{Timeout: limits.Connect.Duration(), KeepAlive: 15 * time.Second}
-	transport := func() *http.Transport {
-		return &http.Transport{
+	transport := func() *http1.Transport {
+		return http1.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     90 * time.Second,
 			DisableCompression:  true,
-		}
+		})
 	}
 	c := &Client{clock: clock, limits: limits, pooled: transport(), unpooled: transport()}
 	c.unpooled.DisableKeepAlives = true
