Take a response with a malformed field name for a failed attempt in engine

What callers saw: in the router with its own interface, a success of a plain service whose body was not the service's: '2\nok\n0' for a chunked body, 'ok and more' for one with a length, each with a blank before the colon; or a success, a refusal or a stream with a field that is none.

Evidence: six golden cases gave these results before: service-name-blank, -length, -encoding, -informational, -refusal and name-blank. service-name-control and name-encoding failed the attempt already and stay as tests.

Change: http1.Transport checks the names of the final header, and of informational ones by the trace of net/http, which ends the exchange on an error. One function checks the names for both routers.

--- a/http1/transport.go
+++ b/http1/transport.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 )
 
 // Transport is an http.RoundTripper for servers whose responses may be broken. The embedded transport carries the exchanges; a
@@ -18,7 +20,9 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
+	})))
 	if err != nil {
 		return nil, err
 	}
@@ -33,5 +37,5 @@
 	if resp.StatusCode < http.StatusOK {
 		return errStatus
 	}
-	return nil
+	return checkNames(resp.Header)
 }
