Confirm the end of an unframed response in engine

What callers saw: in the router with its own interface, a part of the response of a plain service as a complete success, if the service sent neither a length nor chunks and crashed in the middle.

Cause: such a body ends with its connection, and the kernel closes the connections of a killed process in order.

A reset was handled already (service-unframed-reset).

Change: http1.Transport reports the end of such a body once the server has accepted another connection and kept it for 20 ms, as http1.Response does. This works because a killed process refuses, resets or closes new connections. A whole response takes 20 ms longer.

--- a/http1/client.go
+++ b/http1/client.go
@@ -273,7 +273,7 @@
 	if err != nil {
 		return errors.Join(errUnconfirmed, err)
 	}
-	if err := x.staysOpen(confirmTime); err != nil {
+	if err := staysOpen(x.net, confirmTime); err != nil {
 		x.close()
 		return errors.Join(errUnconfirmed, err)
 	}
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -82,18 +82,18 @@
 }
 
 // staysOpen returns an error if the server closes or resets the connection within the time, or sends something on it.
-func (x *conn) staysOpen(limit hoist.Millis) error {
-	if err := x.net.SetReadDeadline(time.Now().Add(limit.Duration())); err != nil {
+func staysOpen(c net.Conn, limit hoist.Millis) error {
+	if err := c.SetReadDeadline(time.Now().Add(limit.Duration())); err != nil {
 		return err
 	}
 	var b [1]byte
-	switch _, err := x.net.Read(b[:]); {
+	switch _, err := c.Read(b[:]); {
 	case err == nil:
 		return errUnexpected
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return err
 	}
-	return x.net.SetReadDeadline(time.Time{})
+	return c.SetReadDeadline(time.Time{})
 }
 
 // isIdle reports whether the connection is open and has received nothing since the last exchange.
--- a/http1/response.go
+++ b/http1/response.go
@@ -138,7 +138,7 @@
 		if named {
 			r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
 			r.body, r.closeConn = resp.Body, resp.Close
-			r.unframed = resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+			r.unframed = isUnframed(resp)
 			return nil
 		}
 		r.client.Mismatched.Add(1)
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -1,26 +1,35 @@
 package http1
 
 import (
+	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 )
 
 // Transport is an http.RoundTripper for servers whose responses may be broken. The embedded transport carries the exchanges; a
-// response with an invalid header is an error.
+// response with an invalid header, and the end of a body that may not be whole, are errors.
 type Transport struct {
 	*http.Transport
 }
 
 // NewTransport returns a transport that uses the base, which must not be used otherwise.
 func NewTransport(base *http.Transport) *Transport {
+	if base.DialContext == nil {
+		base.DialContext = new(net.Dialer).DialContext
+	}
 	return &Transport{base}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+	body := &unframedBody{}
+	ctx := r.Context()
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        func(i httptrace.GotConnInfo) { body.address = i.Conn.RemoteAddr().String() },
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
 	})))
 	if err != nil {
@@ -29,9 +38,54 @@
 	if err := checkHeader(resp); err != nil {
 		return nil, errors.Join(err, resp.Body.Close())
 	}
+	if isUnframed(resp) {
+		body.ReadCloser = resp.Body
+		body.confirmEnd = func() error { return t.confirmEnd(ctx, body.address) }
+		resp.Body = body
+	}
 	return resp, nil
 }
 
+// confirmEnd returns an error unless the server at the address accepts a connection and keeps it, see Client.confirmEnd.
+func (t *Transport) confirmEnd(ctx context.Context, address string) error {
+	c, err := t.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Join(errUnconfirmed, err)
+	}
+	defer func() { _ = c.Close() }() // Nothing was sent.
+	if err := staysOpen(c, confirmTime); err != nil {
+		return errors.Join(errUnconfirmed, err)
+	}
+	return nil
+}
+
+// unframedBody is a body that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	address    string
+	confirmEnd func() error
+	ended      bool
+}
+
+// Read reads the body; it returns io.EOF only at an end that is confirmed.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.ended || !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := b.confirmEnd(); err != nil {
+		return n, err
+	}
+	b.ended = true
+	return n, io.EOF
+}
+
+// isUnframed reports whether the response has a body with neither a length nor chunks, so that it ends with its connection. A
+// compressed body has an end of its own.
+func isUnframed(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+}
+
 // checkHeader returns an error if the header of a final response is invalid.
 func checkHeader(resp *http.Response) error {
 	if resp.StatusCode < http.StatusOK {
