Reject broken responses of the configuration service

What callers saw: nothing known. A part of a configuration could have come into force, with the version of the whole one.

Cause: cfgsvc uses the transport of net/http. It takes the end of a connection for the end of a body with neither a length nor chunks, also if the service has crashed, and ignores a field whose name is followed by a blank. A value is raw text, so its end is not checked otherwise.

Evidence: the golden cases read-crash and read-name-blank gave version 7 with the text that came before the crash or behind the malformed header; both fail now. read-status-zero failed before too, and read-unframed still gives the whole value.

Change: cfgsvc uses http1.Transport.

--- a/cfgsvc/client.go
+++ b/cfgsvc/client.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"chicoryhoist.example/hoist"
+	"chicoryhoist.example/hoist/http1"
 	"chicoryhoist.example/hoist/value"
 	"chicoryhoist.example/hoist/wire"
 )
@@ -49,12 +50,12 @@
 // Client sends requests to the platform; it is safe for concurrent use.
 type Client struct {
 	base      string
-	transport *http.Transport
+	transport *http1.Transport
 }
 
 // NewClient returns a client for the platform at the base URL.
 func NewClient(base string) *Client {
-	return &Client{base: strings.TrimRight(base, "/"), transport: &http.Transport{}}
+	return &Client{base: strings.TrimRight(base, "/"), transport: http1.NewTransport(&http.Transport{})}
 }
 
 // Close closes the idle connections.
--- a/cfgsvc/client_test.go
+++ b/cfgsvc/client_test.go
@@ -22,7 +22,8 @@
 	ginkgo.RunSpecs(t, "cfgsvc")
 }
 
-// respond sends the response on the first connection and sends the request line to the channel; {*} stands for one byte more than the maximum size.
+// respond sends the response on the first connection and sends the request line to the channel; {*} stands for one byte more than
+// the maximum size, and --crash at the end for the crash of the platform.
 func respond(l net.Listener, response string, requestLine chan<- string) {
 	c, err := l.Accept()
 	if err != nil {
@@ -37,6 +38,10 @@
 	requestLine <- strings.TrimSpace(line)
 	head, body, _ := strings.Cut(response, "\n\n")
 	body = strings.ReplaceAll(strings.TrimSpace(body), "{*}", strings.Repeat("x", 1<<20+1))
+	body, crash := strings.CutSuffix(body, "--crash")
+	if crash {
+		_ = l.Close()
+	}
 	fmt.Fprint(c, strings.ReplaceAll(head, "\n", "\r\n"), "\r\nConnection: close\r\n\r\n", body)
 }
 
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -25,6 +25,7 @@
 func NewTransport(base *http.Transport) *Transport {
 	if base.DialContext == nil {
 		base.DialContext = new(net.Dialer).DialContext
+		base.ForceAttemptHTTP2 = true // Otherwise DialContext disables HTTP/2.
 	}
 	return &Transport{base}
 }
