Take an unrequested switch of the protocol for a lost response

What callers saw: nothing known. A response that follows a status 101 was forwarded as that of the server, although the server had announced another protocol.

Cause: http1 reads on after every informational response. After 101 the bytes belong to another protocol, which no request of http1 asks for.

Its other requests stay as tests; a body behind an informational response, the end after one and the status 000 after one were lost responses already.

Change: 101 counts as no valid status, as in http1.Transport.

Result: go test ./http1 passes.

--- a/http1/response.go
+++ b/http1/response.go
@@ -125,8 +125,8 @@
 			return err
 		}
 		switch {
-		case resp.StatusCode < http.StatusContinue:
-			return errStatus
+		case resp.StatusCode < http.StatusContinue, resp.StatusCode == http.StatusSwitchingProtocols:
+			return errStatus // No request asks for another protocol, so what follows is no response.
 		case resp.StatusCode < http.StatusOK:
 			continue
 		}
