Take a response of HTTP/1.0 with a transfer encoding for a lost one

What callers saw: nothing known. The chunks of such a response, with their sizes, were forwarded as a complete body.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, so the body ends with its connection. RFC 9112, section 6.1, takes such framing for faulty.

Evidence: the first request of the golden case transfer-encoding gave status 200 and the body '5\r\nhello\r\n0\r\n\r\n' before.

Change: http1 looks for the field in a header of HTTP/1.0 before net/http reads it, as far as the header fits into the read buffer of 4 KiB.

--- a/http1/response.go
+++ b/http1/response.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -22,6 +23,7 @@
 	errNoID       = errors.New("response does not name its request exactly once")
 	errBodySize   = errors.New("response body without a length is too long")
 	errStatus     = errors.New("response has no valid status")
+	errEncoding   = errors.New("response of HTTP/1.0 has a transfer encoding")
 	errFieldName  = errors.New("response header has a field whose name is not a token")
 	errUnexpected = errors.New("server sends bytes on a connection without a request")
 	// errUnconfirmed means that a body ended with its connection, and perhaps with its server.
@@ -97,6 +99,9 @@
 	}
 	limit := time.AfterFunc(r.client.limits.Header.Duration(), r.conn.abort)
 	defer limit.Stop()
+	if err := checkEncoding(r.conn.reader); err != nil {
+		return nil, err
+	}
 	//nolint:bodyclose // Release and Discard end the exchange; closing the body would read the rest of it.
 	resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: method})
 	if err != nil {
@@ -105,6 +110,30 @@
 	return resp, checkNames(resp.Header)
 }
 
+// checkEncoding returns an error if the next response is of HTTP/1.0 and has a transfer encoding, so that the end of its body is
+// unknown (RFC 9112, section 6.1). net/http ignores that field. Only a header that fits into the read buffer is checked.
+func checkEncoding(r *bufio.Reader) error {
+	version, field := []byte("HTTP/1.0 "), []byte("Transfer-Encoding")
+	for n := len(version); ; n = r.Buffered() + 1 {
+		if _, err := r.Peek(n); err != nil {
+			return nil // ReadResponse returns the error.
+		}
+		header, _ := r.Peek(r.Buffered()) // Has no error, because it reads nothing.
+		if !bytes.HasPrefix(header, version) {
+			return nil
+		}
+		for line := range bytes.Lines(header) {
+			name, _, found := bytes.Cut(line, []byte(":"))
+			switch {
+			case found && bytes.EqualFold(bytes.TrimSpace(name), field):
+				return errEncoding
+			case len(bytes.TrimRight(line, "\r\n")) == 0 && line[len(line)-1] == '\n':
+				return nil
+			}
+		}
+	}
+}
+
 // checkNames returns an error if the name of a field is not a token. net/http accepts blanks in a name and ignores what such a
 // field says, for example about the length of the body.
 func checkNames(h http.Header) error {
