Finish a completion without waiting for the end of a body without a length

A completion whose engine sends neither a length nor chunks opened a second connection and ended 20 ms later.

Change: engine reads on only if the connection can be reused. The last frame says that the completion is whole. The two tests of long requests have names that say what they do.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -165,8 +165,8 @@
 
 	// Guards against a part of a response that is taken for the whole one, because the write of the request has received the
 	// reset of the connection, or because the server has closed the connection without reading the request.
-	for _, linger := range []int{0, -1} {
-		ginkgo.It(fmt.Sprint("fails if the connection ends while a long request is written, with linger ", linger), func() {
+	for end, linger := range map[string]int{"reset": 0, "closed": -1} {
+		ginkgo.It("fails if the connection is "+end+" while a long request is written", func() {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			defer l.Close()
@@ -236,6 +236,30 @@
 		gomega.Expect(connections.Load()).To(gomega.Equal(int64(1)))
 	})
 
+	// Guards against a finished completion that waits until the end of a body without a length is confirmed.
+	ginkgo.It("opens one connection for each completion without a length", func() {
+		var connections atomic.Int64
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Transfer-Encoding", "identity")
+			stream(w, r, 2)
+			fmt.Fprintf(w, "id: %s:END\ndata: [DONE]\n\n", r.Header.Get("X-Request-Id"))
+		}))
+		s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		s.Start()
+		defer s.Close()
+		client := NewClient(hoist.NewSystemClock(), Limits{Connect: hoist.Second, FirstFrame: hoist.Minute, Stall: hoist.Minute})
+		defer client.Close()
+		for range 3 {
+			end := client.Run(context.Background(), s.Listener.Addr().String(), ownAttempt(), Completion{Path: "/"}, func(Item) bool { return true })
+			gomega.Expect(end).To(gomega.Equal(value.EndKindFinished))
+		}
+		gomega.Expect(connections.Load()).To(gomega.Equal(int64(3)))
+	})
+
 	// Guards against taking a slow caller for a stalled engine, which would repeat the whole computation.
 	ginkgo.It("does not count the caller's time as a stall", func() {
 		taken := make(chan struct{}, 3)
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -62,8 +62,10 @@
 		case errors.Is(err, errMalformed), errors.Is(err, bufio.ErrBufferFull):
 			return value.EndKindFailed
 		case errors.Is(err, io.EOF) && p.ended:
-			timer.Reset(bodyEndTimeout)
-			p.readBodyEnd()
+			if !resp.Close {
+				timer.Reset(bodyEndTimeout)
+				p.readBodyEnd()
+			}
 			return value.EndKindFinished
 		case err != nil:
 			return r.brokenEndKind(ctx)
