Confirm the end of unframed bodies whatever version the server names

Change: the version does not matter. A response of HTTP/2 without a length, which only the configuration service over TLS can send, takes 20 ms longer. Result: go test ./http1 ./engine ./cfgsvc passes; no test has such a version.

--- a/http1/response.go
+++ b/http1/response.go
@@ -193,8 +193,8 @@
 	}
 }
 
-// Read reads the body; it returns io.EOF only at the end of a complete body. The end of a body that ends with its connection
-// counts once the server has accepted another connection, and unless a reset has ended the connection.
+// Read reads the body; it returns io.EOF only at the end of a complete body. If the body ends with its connection, it is complete
+// if the server accepts another connection afterwards and no reset has ended the connection.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if r.unframed && errors.Is(err, io.EOF) {
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -11,9 +11,9 @@
 	"sync/atomic"
 )
 
-// errRequestUnread means that a response without a length ended while its request was being written, so that it may have been
+// errUnwritten means that a response without a length ended while its request was being written, so that it may have been
 // broken off by a reset that the write has received.
-var errRequestUnread = errors.New("response without a length ended before its request was written")
+var errUnwritten = errors.New("response without a length ended before its request was written")
 
 // Transport is an http.RoundTripper for servers whose responses may be broken. The embedded transport carries the exchanges; a
 // response with an invalid header, and the end of a body that may not be whole, are errors.
@@ -86,7 +86,7 @@
 		return n, err
 	}
 	if !b.written.Load() {
-		return n, errRequestUnread
+		return n, errUnwritten
 	}
 	b.ended = true
 	return n, io.EOF
@@ -95,7 +95,7 @@
 // isUnframed reports whether the response has a body with neither a length nor chunks, so that it ends with its connection. A
 // compressed body has an end of its own.
 func isUnframed(resp *http.Response) bool {
-	return resp.Body != http.NoBody && resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
 }
 
 // checkHeader returns an error if the header of a final response is invalid.
