Replace the servers of a test environment in one place

Cause: three tests of the forwarding router had the same loop. Change: environment.replaceServers; no assertion changed.

--- a/cmd/standin/system/cut_test.go
+++ b/cmd/standin/system/cut_test.go
@@ -78,11 +78,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = l.Close() }()
 		go cutServer(l, interim, framings[framing])
-		for _, id := range []string{"llm-1", "llm-2", "app-1", "app-2"} {
-			f.store.Remove("servers/" + id)
-			entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, id[:3], l.Addr())
-			f.store.Put("servers/cut-"+id, []byte(entry))
-		}
+		f.replaceServers(l.Addr())
 		paths := []string{"/stream/x", "/once/x", "/read/x"}
 		for _, path := range paths {
 			Eventually(func() string { return f.send("POST", "a.example", path, "w", "k1").body }).
--- a/cmd/standin/system/early_test.go
+++ b/cmd/standin/system/early_test.go
@@ -45,11 +45,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = l.Close() }()
 		go resetServer(l, beginning)
-		for _, id := range []string{"llm-1", "llm-2", "app-1", "app-2"} {
-			f.store.Remove("servers/" + id)
-			entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, id[:3], l.Addr())
-			f.store.Put("servers/reset-"+id, []byte(entry))
-		}
+		f.replaceServers(l.Addr())
 		f.version++
 		long := strings.Replace(routesFormat, `"max_body_bytes":1000`, fmt.Sprintf(`"max_body_bytes":%d`, uploadBytes), 1)
 		f.store.Put("op/config", fmt.Appendf(nil, long, f.version, `"k3"`))
--- a/cmd/standin/system/malformed_test.go
+++ b/cmd/standin/system/malformed_test.go
@@ -54,13 +54,9 @@
 		f.close()
 	})
 
-	// replaceServers enters the address of the listener in the store in place of all servers, and waits until it is in force.
-	replaceServers := func() {
-		for _, id := range []string{"llm-1", "llm-2", "app-1", "app-2"} {
-			f.store.Remove("servers/" + id)
-			entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, id[:3], l.Addr())
-			f.store.Put("servers/malformed-"+id, []byte(entry))
-		}
+	// useListener replaces the servers by the listener and waits until it is in force.
+	useListener := func() {
+		f.replaceServers(l.Addr())
 		Eventually(func() string { return f.send("GET", "a.example", "/read/x", "w", "k1", soundHeader, "1").body }).
 			WithTimeout(changeTime).WithPolling(20 * time.Millisecond).Should(Equal("sound"))
 	}
@@ -69,7 +65,7 @@
 	// connection that ends without a response because the status of the server cannot be sent.
 	DescribeTable("forwards no success", func(status, fields, body string) {
 		go malformedServer(l, status+"\r\nChicoryhoist-Request-Id: ID\r\nChicoryhoist-Response-Seal: s\r\n"+fields+"\r\n"+body, false)
-		replaceServers()
+		useListener()
 		for n, path := range []string{"/once/x", "/read/x", "/stream/x"} {
 			r := f.send("POST", "a.example", path, fmt.Sprint("m", n), "k1")
 			Expect(r.interrupted).To(BeFalse())
@@ -89,7 +85,7 @@
 	// Guards against a stream that goes on with the body of a malformed response, or ends there as if it were complete.
 	DescribeTable("does not resume a stream", func(text string) {
 		go malformedServer(l, text, true)
-		replaceServers()
+		useListener()
 		r := f.send("POST", "a.example", "/stream/x", "1", "k1")
 		Expect(r.interrupted).To(BeTrue(), "%+v", r)
 		Expect(r.body).To(Equal(origin.StreamEvent("1", 1)))
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -167,6 +167,15 @@
 	f.store.Put("servers/"+id, []byte(entry))
 }
 
+// replaceServers enters servers at the address in the store, in place of those of the environment.
+func (f *environment) replaceServers(address net.Addr) {
+	for _, id := range []string{"llm-1", "llm-2", "app-1", "app-2"} {
+		f.store.Remove("servers/" + id)
+		entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"x","slots":8,"state":"ready","sequence":1}`, id[:3], address)
+		f.store.Put("servers/other-"+id, []byte(entry))
+	}
+}
+
 // isReady reports whether the instance's readiness endpoint responds with status 200.
 func (f *environment) isReady() bool {
 	r, err := http.Get(f.ready)
