Count the connections of completions in one place, and drop a test method used once

Cause: two tests of engine differed in the handler of their server only; environment.upload had one caller. Change: countConnections; early_test.go sends its body itself. The assertions are the same.

--- a/cmd/standin/system/early_test.go
+++ b/cmd/standin/system/early_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -52,7 +53,7 @@
 		Eventually(func() string { return f.send("GET", "a.example", "/read/x", "w", "k1").body }).
 			WithTimeout(changeTime).WithPolling(20 * time.Millisecond).Should(Equal("whole"))
 		for n := range 10 {
-			r := f.upload(path, fmt.Sprint("u", n), uploadBytes)
+			r := f.sendBody(http.MethodPost, "a.example", path, fmt.Sprint("u", n), "k1", bytes.NewReader(make([]byte, uploadBytes)))
 			Expect(r.interrupted || r.status/100 != 2).To(BeTrue(), "%+v", r)
 		}
 	},
--- a/cmd/standin/system/system_test.go
+++ b/cmd/standin/system/system_test.go
@@ -3,7 +3,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -211,11 +210,6 @@
 	return f.sendBody(method, host, path, id, key, body, more...)
 }
 
-// upload sends a request with a body of the length.
-func (f *environment) upload(path, id string, length int) result {
-	return f.sendBody(http.MethodPost, "a.example", path, id, "k1", bytes.NewReader(make([]byte, length)))
-}
-
 // sendBody sends one request with the body.
 func (f *environment) sendBody(method, host, path, id, key string, body io.Reader, more ...string) result {
 	r, err := http.NewRequest(method, f.url+path, body)
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -212,14 +212,10 @@
 		gomega.Eventually(disconnected, "5s").Should(gomega.BeClosed())
 	})
 
-	// Guards against a new TCP connection for each attempt, which adds a round trip to the first-token latency.
-	ginkgo.It("reuses the connection of a finished attempt", func() {
+	// countConnections runs three completions on a server with the handler and returns the number of its connections.
+	countConnections := func(handler http.HandlerFunc) int64 {
 		var connections atomic.Int64
-		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			stream(w, r, 2)
-			fmt.Fprintf(w, "id: %s:END\ndata: [DONE]\n\n", r.Header.Get("X-Request-Id"))
-			_ = http.NewResponseController(w).Flush()
-		}))
+		s := httptest.NewUnstartedServer(handler)
 		s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 			if state == http.StateNew {
 				connections.Add(1)
@@ -233,31 +229,25 @@
 			end := client.Run(context.Background(), s.Listener.Addr().String(), ownAttempt(), Completion{Path: "/"}, func(Item) bool { return true })
 			gomega.Expect(end).To(gomega.Equal(value.EndKindFinished))
 		}
-		gomega.Expect(connections.Load()).To(gomega.Equal(int64(1)))
+		return connections.Load()
+	}
+
+	// Guards against a new TCP connection for each attempt, which adds a round trip to the first-token latency.
+	ginkgo.It("reuses the connection of a finished attempt", func() {
+		gomega.Expect(countConnections(func(w http.ResponseWriter, r *http.Request) {
+			stream(w, r, 2)
+			fmt.Fprintf(w, "id: %s:END\ndata: [DONE]\n\n", r.Header.Get("X-Request-Id"))
+			_ = http.NewResponseController(w).Flush()
+		})).To(gomega.Equal(int64(1)))
 	})
 
 	// Guards against a finished completion that waits until the end of a body without a length is confirmed.
 	ginkgo.It("opens one connection for each completion without a length", func() {
-		var connections atomic.Int64
-		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		gomega.Expect(countConnections(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Transfer-Encoding", "identity")
 			stream(w, r, 2)
 			fmt.Fprintf(w, "id: %s:END\ndata: [DONE]\n\n", r.Header.Get("X-Request-Id"))
-		}))
-		s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
-			if state == http.StateNew {
-				connections.Add(1)
-			}
-		}
-		s.Start()
-		defer s.Close()
-		client := NewClient(hoist.NewSystemClock(), Limits{Connect: hoist.Second, FirstFrame: hoist.Minute, Stall: hoist.Minute})
-		defer client.Close()
-		for range 3 {
-			end := client.Run(context.Background(), s.Listener.Addr().String(), ownAttempt(), Completion{Path: "/"}, func(Item) bool { return true })
-			gomega.Expect(end).To(gomega.Equal(value.EndKindFinished))
-		}
-		gomega.Expect(connections.Load()).To(gomega.Equal(int64(3)))
+		})).To(gomega.Equal(int64(3)))
 	})
 
 	// Guards against taking a slow caller for a stalled engine, which would repeat the whole computation.
