Say why the end of an unframed body is checked in this order

Cause: found by reading the change once more. Behaviour stays as it is. Result: go test -race ./http1 ./engine ./cfgsvc ./docs passes, the linter is silent.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -62,7 +62,7 @@
 		case errors.Is(err, errMalformed), errors.Is(err, bufio.ErrBufferFull):
 			return value.EndKindFailed
 		case errors.Is(err, io.EOF) && p.ended:
-			if !resp.Close {
+			if !resp.Close { // Otherwise the connection is not reused, and the last frame has come.
 				timer.Reset(bodyEndTimeout)
 				p.readBodyEnd()
 			}
--- a/http1/response.go
+++ b/http1/response.go
@@ -201,6 +201,7 @@
 		if e := r.confirmEnd(); e != nil {
 			return n, e
 		}
+		// A server that has closed the connection answers the rest of the request with a reset, which arrives during the check above.
 		if e := r.resetError(); e != nil {
 			return n, e
 		}
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -33,9 +33,9 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	body := &unframedBody{}
-	ctx := r.Context()
+	ctx, address := r.Context(), ""
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:        func(i httptrace.GotConnInfo) { body.address = i.Conn.RemoteAddr().String() },
+		GotConn:        func(i httptrace.GotConnInfo) { address = i.Conn.RemoteAddr().String() },
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
 		WroteRequest:   func(i httptrace.WroteRequestInfo) { body.written.Store(i.Err == nil) },
 	})))
@@ -47,7 +47,7 @@
 	}
 	if isUnframed(resp) {
 		body.ReadCloser = resp.Body
-		body.confirmEnd = func() error { return t.confirmEnd(ctx, body.address) }
+		body.confirmEnd = func() error { return t.confirmEnd(ctx, address) }
 		resp.Body = body
 	}
 	return resp, nil
@@ -69,7 +69,6 @@
 // unframedBody is a body that ends with its connection.
 type unframedBody struct {
 	io.ReadCloser
-	address    string
 	confirmEnd func() error
 	// written is set once the request was written.
 	written atomic.Bool
@@ -85,6 +84,7 @@
 	if err := b.confirmEnd(); err != nil {
 		return n, err
 	}
+	// The transport has closed the connection; a write that had ended before has reported it during the check above.
 	if !b.written.Load() {
 		return n, errUnwritten
 	}
