--- a/review/lab3/server.go
+++ b/review/lab3/server.go
@@ -18,6 +18,9 @@
 // windowBytes is the size of the socket buffers of stand-ins: the windows of the platform are small.
 const windowBytes = 64 << 10
 
+// workTime is the time that a server works on a request, work_ms of the small deployments.
+const workTime = 30 * time.Millisecond
+
 // seal is the signature of the answers of a server.
 func seal(id string, n int) string { return fmt.Sprintf("%x.%s.%d", len(id), id, n) }
 
@@ -70,6 +73,7 @@
 			fmt.Printf("sent %s %s %d\n", id, request, n)
 			return
 		}
+		time.Sleep(workTime)
 		text := "done " + request
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nChicoryhoist-Request-Id: %s\r\nChicoryhoist-Response-Seal: %s\r\nChicoryhoist-Server-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n%s", request, seal(id, len(text)), len(text), text)
 	}
