--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -240,11 +240,14 @@
 }
 
 // ran reports whether a server has run the request.
-func (f *fleet) ran(request string) bool {
+func (f *fleet) ran(request string) bool { return f.ranAt("", request) }
+
+// ranAt reports whether the server, or any if it is empty, has run the request.
+func (f *fleet) ranAt(server, request string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, line := range f.runs {
-		if fields := strings.Fields(line); len(fields) > 2 && fields[0] == "run" && fields[2] == request {
+		if fields := strings.Fields(line); len(fields) > 2 && fields[0] == "run" && fields[2] == request && (server == "" || fields[1] == server) {
 			return true
 		}
 	}
--- a/review/lab3/server.go
+++ b/review/lab3/server.go
@@ -10,8 +10,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +24,9 @@
 // workTime is the time that a server works on a request, work_ms of the small deployments.
 const workTime = 30 * time.Millisecond
 
+// leaving is set once the server leaves, which SIGUSR1 tells it.
+var leaving atomic.Bool
+
 // seal is the signature of the answers of a server.
 func seal(id string, n int) string { return fmt.Sprintf("%x.%s.%d", len(id), id, n) }
 
@@ -32,6 +38,12 @@
 	if err != nil {
 		return err
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		<-signals
+		leaving.Store(true)
+	}()
 	fmt.Println("listening")
 	for {
 		c, err := l.Accept()
@@ -74,8 +86,11 @@
 			return
 		}
 		time.Sleep(workTime)
-		text := "done " + request
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nChicoryhoist-Request-Id: %s\r\nChicoryhoist-Response-Seal: %s\r\nChicoryhoist-Server-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n%s", request, seal(id, len(text)), len(text), text)
+		text, notice := "done "+request, ""
+		if leaving.Load() {
+			notice = "Server-Leaving: 1\r\n"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nChicoryhoist-Request-Id: %s\r\nChicoryhoist-Response-Seal: %s\r\nChicoryhoist-Server-Load: 1,0,6\r\n%sContent-Length: %d\r\n\r\n%s", request, seal(id, len(text)), notice, len(text), text)
 	}
 }
 
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -16,6 +16,9 @@
 // answerTime is the time that the store takes for an answer.
 const answerTime = 4 * time.Millisecond
 
+// historyTime is the time for which the store keeps changes.
+const historyTime = 20 * time.Second
+
 // item is one key of the store, or its removal.
 type item struct {
 	Key      string `json:"key"`
@@ -32,8 +35,11 @@
 	revision int64
 	items    map[string]item
 	history  []item
-	changed  chan struct{}
-	calls    int
+	// times are those of the history, and dropped is the newest revision that it no longer has.
+	times   []time.Time
+	dropped int64
+	changed chan struct{}
+	calls   int
 }
 
 func newStore() *store {
@@ -52,6 +58,11 @@
 		s.items[key] = i
 	}
 	s.history = append(s.history, i)
+	s.times = append(s.times, time.Now())
+	for len(s.times) > 0 && time.Since(s.times[0]) > historyTime {
+		s.dropped = s.history[0].Revision
+		s.history, s.times = s.history[1:], s.times[1:]
+	}
 	s.wake()
 	return s.revision
 }
@@ -70,7 +81,7 @@
 	for k, v := range s.items {
 		c.items[k] = v
 	}
-	c.history = append(c.history, s.history...)
+	c.history, c.times, c.dropped = append(c.history, s.history...), append(c.times, s.times...), s.dropped
 	return c
 }
 
@@ -87,7 +98,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.revision, s.items, s.history, s.away = c.revision, c.items, c.history, false
+	s.revision, s.items, s.away = c.revision, c.items, false
+	s.history, s.times, s.dropped = c.history, c.times, c.dropped
 	s.wake()
 }
 
@@ -148,7 +160,7 @@
 			s.mu.Unlock()
 			return
 		}
-		if after > s.revision {
+		if after > s.revision || after < s.dropped {
 			s.head(w, http.StatusGone)
 			s.mu.Unlock()
 			return
