--- a/review/lab3/bulk.go
+++ b/review/lab3/bulk.go
@@ -17,9 +17,9 @@
 	// bulkBytes is the length of the text in the entry; value_bytes allows 1,048,576.
 	bulkBytes = 1000 << 10
 	// bulkInterval is the time between two writes of the entry; the store takes 400 writes a second.
-	bulkInterval = 210 * time.Millisecond
+	bulkInterval = 200 * time.Millisecond
 	// bulkTime is the time for which the other writer writes.
-	bulkTime = 100 * time.Second
+	bulkTime = 95 * time.Second
 	// machineMib is memory_mb.
 	machineMib = 134
 	// restartDelay is the time after which the platform starts a process again.
@@ -72,7 +72,10 @@
 }
 
 // playBulk lets another writer write one entry again and again, and ends processes that exceed the memory of their machine.
-func playBulk(f *fleet, trouble bool) (bool, error) {
+func playBulk(f *fleet, trouble bool) (bool, error) { return f.writeBulk(trouble, bulkInterval) }
+
+// writeBulk is playBulk with the time between two writes.
+func (f *fleet) writeBulk(trouble bool, interval time.Duration) (bool, error) {
 	zones := []string{"a", "b"}
 	for i := range 2 {
 		if err := f.startServer(fmt.Sprintf("app-%d", i+1), "app", zones[i]); err != nil {
@@ -96,7 +99,7 @@
 			}
 			f.store.put("servers/other", e)
 		}
-		time.Sleep(bulkInterval)
+		time.Sleep(interval)
 		for r, x := range f.routers {
 			m := x.anonymous()
 			greatest = max(greatest, m)
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -26,7 +26,7 @@
 		}
 		return
 	}
-	cases := map[string]func(*fleet, bool) (bool, error){"drill": playDrill, "slow": playSlow, "writer": playWriter, "bulk": playBulk, "leave": playLeave}
+	cases := map[string]func(*fleet, bool) (bool, error){"drill": playDrill, "slow": playSlow, "writer": playWriter, "bulk": playBulk, "leave": playLeave, "old": playOld, "rapid": playRapid}
 	play, ok := cases[os.Args[1]]
 	if !ok || len(os.Args) < 4 {
 		fatal(fmt.Errorf("unknown case %q", os.Args[1]))
--- a/review/lab3/server.go
+++ b/review/lab3/server.go
@@ -78,6 +78,10 @@
 			continue
 		}
 		fmt.Printf("run %s %s %s tenant=%s body=%d at=%d\n", id, request, r.URL.RequestURI(), r.Header.Get("Chicoryhoist-Tenant"), len(body), time.Now().UnixMilli())
+		if r.URL.Query().Has("old") {
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nX-Long: %s\r\nChicoryhoist-Request-Id: %s\r\nChicoryhoist-Response-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", strings.Repeat("x", 4200), request, seal(id, 5))
+			return
+		}
 		if strings.Contains(r.URL.RawQuery, "bytes=") {
 			n, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nChicoryhoist-Request-Id: %s\r\nChicoryhoist-Response-Seal: %s\r\nContent-Type: application/octet-stream\r\nConnection: close\r\n\r\n", request, seal(id, n))
